--- /dev/null
+++ b/dgclient/doc.go
@@ -0,0 +1,1 @@
+package dgclient
--- /dev/null
+++ b/dgsettings/doc.go
@@ -0,0 +1,1 @@
+package dgsettings
