--- a/dgbackend/doc.go
+++ b/dgbackend/doc.go
@@ -1,1 +1,2 @@
+// Package dgbackend is the client of backend servers.
 package dgbackend
--- a/dgplatform/doc.go
+++ b/dgplatform/doc.go
@@ -1,1 +1,2 @@
+// Package dgplatform is the client of the platform's object API and VM list.
 package dgplatform
