--- a/ports.go
+++ b/ports.go
@@ -47,9 +47,10 @@
 type BackendRequest struct {
 	ID       SubID
 	Class    Class
-	Index    IndexVersion // 0 for actions
-	Action   bool         // may not be repeated
-	Deadline time.Time    // wall clock; the backend server refuses it afterwards
+	Index    IndexVersion   // 0 for actions
+	Action   bool           // may not be repeated
+	Key      IdempotencyKey // of an action; the Idempotency-Key header
+	Deadline time.Time      // wall clock; the backend server refuses it afterwards
 	Body     []byte
 }
 
