--- a/dgpeer/outbox.go
+++ b/dgpeer/outbox.go
@@ -96,12 +96,12 @@
 }
 
 // Cancel queues the cancellation of a submitted sub-request.
-func (s *Sender) Cancel(address string, id dandeliongap.SubID) {
+func (s *Sender) Cancel(address string, id dandeliongap.SubID, replica dandeliongap.ReplicaID) {
 	s.box(address).add(func(b *outbox) bool {
 		if len(b.cancels) >= MaxQueue {
 			return false
 		}
-		b.cancels = append(b.cancels, dgwire.FromSubID(id))
+		b.cancels = append(b.cancels, &dgwire.SubCancel{Id: dgwire.FromSubID(id), Replica: string(replica)})
 		return true
 	}, func() {})
 }
@@ -167,7 +167,7 @@
 
 	mu         sync.Mutex
 	submits    []submit
-	cancels    []*dgwire.SubId
+	cancels    []*dgwire.SubCancel
 	answers    []*dgwire.SubAnswer
 	submitting int // Submit calls under way
 	delivering int // Deliver calls under way
@@ -231,7 +231,7 @@
 	}
 }
 
-func (b *outbox) takeSubmits() ([]submit, []*dgwire.SubId) {
+func (b *outbox) takeSubmits() ([]submit, []*dgwire.SubCancel) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := min(len(b.submits), MaxBatch)
@@ -244,7 +244,7 @@
 	return submits, cancels
 }
 
-func (b *outbox) submit(submits []submit, cancels []*dgwire.SubId) {
+func (b *outbox) submit(submits []submit, cancels []*dgwire.SubCancel) {
 	msg := &dgwire.SubmitRequest{
 		FromMember:  string(b.s.self),
 		FromAddress: b.s.address,
