--- /dev/null
+++ b/dgcommand/command.go
@@ -0,0 +1,114 @@
+// Package dgcommand is the command line for operators and newcomers.
+package dgcommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgclient"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK           = 0
+	ExitFailed       = 1 // faults found, a promise broken, or a request refused
+	ExitUsage        = 2 // wrong command line
+	ExitUnreachable  = 3 // no answer; a change may or may not have taken effect
+	ExitConflict     = 4 // another change came first; nothing was changed
+	ExitUnauthorized = 5 // operator token missing or wrong
+)
+
+// Version is the version that the command prints. The release build sets it.
+var Version = "0.1.0-dev"
+
+// CLI is the whole command line, in the form that kong reads.
+type CLI struct {
+	Check   CheckCommand   `cmd:"" help:"Check a configuration text and print every fault."`
+	Apply   ApplyCommand   `cmd:"" help:"Check a configuration text and put it in force."`
+	Show    ShowCommand    `cmd:"" help:"Print the configuration text in force."`
+	Status  StatusCommand  `cmd:"" help:"Show services, replicas and VMs."`
+	Zone    ZoneCommand    `cmd:"" help:"Take an availability zone out of service or return it."`
+	Search  SearchCommand  `cmd:"" help:"Run one search."`
+	Act     ActCommand     `cmd:"" help:"Run one request that may not be repeated."`
+	Demo    DemoCommand    `cmd:"" help:"Run stand-ins and six VMs in this process and show each promise as held or broken."`
+	Load    LoadCommand    `cmd:"" help:"Run an open-loop load with one fault and compare with the baseline policy."`
+	Version VersionCommand `cmd:"" help:"Print the version."`
+}
+
+// Env is what commands use of the process.
+type Env struct {
+	Ctx    context.Context
+	Out    io.Writer
+	Err    io.Writer
+	IsTerm bool // Out is a terminal
+}
+
+// VersionCommand prints the version.
+type VersionCommand struct{}
+
+// Help adds an example.
+func (VersionCommand) Help() string { return "Example: dandeliongap version" }
+
+// Run prints the version.
+func (VersionCommand) Run(env *Env) error {
+	_, err := fmt.Fprintln(env.Out, "dandeliongap", Version)
+	return err
+}
+
+// Connection holds the flags of commands that talk to the tier.
+type Connection struct {
+	Addresses []string      `name:"address" short:"a" default:"127.0.0.1:20001" help:"Address of a VM, IP:port; may be repeated." env:"DANDELIONGAP_ADDRESSES"`
+	TokenFile string        `name:"token-file" help:"File with the operator token." env:"DANDELIONGAP_TOKEN_FILE" type:"existingfile"`
+	Timeout   time.Duration `default:"10s" help:"Time limit of one call."`
+}
+
+// client returns a client for the tier. Close it after use.
+func (c *Connection) client() (*dgclient.Client, error) {
+	o := dgclient.Options{Addresses: c.Addresses, Timeout: c.Timeout}
+	if c.TokenFile != "" {
+		b, err := os.ReadFile(c.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		o.Token = trimToken(b)
+	}
+	return dgclient.New(o)
+}
+
+func trimToken(b []byte) string {
+	for len(b) > 0 && (b[len(b)-1] == '\n' || b[len(b)-1] == '\r') {
+		b = b[:len(b)-1]
+	}
+	return string(b)
+}
+
+// printJSON writes one object on one line.
+func printJSON(w io.Writer, v any) error {
+	return json.NewEncoder(w).Encode(v)
+}
+
+// ErrFailed reports that a command did its work and found the result bad; what
+// is wrong was printed already.
+var ErrFailed = errors.New("failed")
+
+// ExitCode returns the exit code of a command's error.
+func ExitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, dandeliongap.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, dandeliongap.ErrUnauthorized):
+		return ExitUnauthorized
+	case errors.Is(err, dandeliongap.ErrUnreachable):
+		return ExitUnreachable
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/dgcommand/status.go
@@ -0,0 +1,150 @@
+package dgcommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgclient"
+)
+
+// Status is the part of GET /v1/status that the command prints.
+type Status struct {
+	Self     dandeliongap.MemberID
+	Serving  bool
+	Why      string
+	Config   dandeliongap.Version
+	ZonesOut []dandeliongap.ZoneName
+	VMs      []VMStatus
+	Services []ServiceStatus
+}
+
+// VMStatus is one VM of the tier.
+type VMStatus struct {
+	VM        dandeliongap.VMName
+	Zone      dandeliongap.ZoneName
+	State     string
+	Reachable bool
+	Serving   bool
+	Config    dandeliongap.Version
+	Replicas  int
+}
+
+// ServiceStatus is one service, over all VMs that answered.
+type ServiceStatus struct {
+	Service  dandeliongap.ServiceName
+	Requests int64
+	Refused  int64
+	Coverage float64
+	P50Ms    float64
+	P99Ms    float64 // the highest of any VM
+	Replicas []ReplicaStatus
+}
+
+// ReplicaStatus is one replica at its owner.
+type ReplicaStatus struct {
+	Replica dandeliongap.ReplicaID
+	Zone    dandeliongap.ZoneName
+	Owner   dandeliongap.VMName
+	State   string
+	Limit   int
+	Busy    int
+	Queued  int
+	Doing   string // what the tier does about the state
+}
+
+// summaryAbove is the number of replicas from which the table shows one line
+// per service and state.
+const summaryAbove = 40
+
+// StatusCommand shows the state of the tier.
+type StatusCommand struct {
+	Connection `embed:""`
+	JSON       bool `name:"json" help:"Print one JSON object."`
+	All        bool `help:"Show every replica, however many there are."`
+}
+
+// Help adds an example.
+func (StatusCommand) Help() string { return "Example: dandeliongap status --token-file token --all" }
+
+// Run prints the tables.
+func (c *StatusCommand) Run(env *Env) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	if c.JSON {
+		s, err := client.Status(env.Ctx)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(env.Out, "%s\n", s.Raw)
+		return err
+	}
+	s, err := readStatus(env.Ctx, client)
+	if err != nil {
+		return err
+	}
+	return s.print(env.Out, c.All)
+}
+
+func readStatus(ctx context.Context, client *dgclient.Client) (*Status, error) {
+	raw, err := client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var s Status
+	if err := json.Unmarshal(raw.Raw, &s); err != nil {
+		return nil, fmt.Errorf("status: %w", err)
+	}
+	return &s, nil
+}
+
+func isNotFound(err error) bool { return errors.Is(err, dandeliongap.ErrNotFound) }
+
+func (s *Status) print(out io.Writer, all bool) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "configuration\tversion %d\tzones out\t%v\n\n", s.Config, s.ZonesOut)
+	fmt.Fprintln(w, "VM\tZONE\tSTATE\tREACHABLE\tSERVING\tCONFIG\tREPLICAS")
+	for _, vm := range s.VMs {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n", vm.VM, vm.Zone, vm.State, vm.Reachable, vm.Serving, vm.Config, vm.Replicas)
+	}
+	fmt.Fprintln(w, "\nSERVICE\tREQUESTS/MIN\tREFUSED\tCOVERAGE\tP50 MS\tP99 MS\tREPLICAS")
+	replicas := 0
+	for _, sv := range s.Services {
+		replicas += len(sv.Replicas)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f%%\t%.1f\t%.1f\t%s\n",
+			sv.Service, sv.Requests, sv.Refused, 100*sv.Coverage, sv.P50Ms, sv.P99Ms, sv.states())
+	}
+	if !all && replicas > summaryAbove {
+		fmt.Fprintln(w, "\nReplicas are summed up by state; --all shows each.")
+		return w.Flush()
+	}
+	fmt.Fprintln(w, "\nREPLICA\tZONE\tOWNER\tSTATE\tLIMIT\tBUSY\tQUEUED\tDOING")
+	for _, sv := range s.Services {
+		for _, r := range sv.Replicas {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Replica, r.Zone, r.Owner, r.State, r.Limit, r.Busy, r.Queued, r.Doing)
+		}
+	}
+	return w.Flush()
+}
+
+// states counts the replicas by state, in a fixed order.
+func (sv *ServiceStatus) states() string {
+	counts := map[string]int{}
+	for _, r := range sv.Replicas {
+		counts[r.State]++
+	}
+	text := ""
+	for _, state := range []string{"warm", "ramping", "cold", "leaving", "lost", "not held", "unknown"} {
+		if counts[state] > 0 {
+			text += fmt.Sprintf("%d %s ", counts[state], state)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/dgnode/adopt.go
@@ -0,0 +1,193 @@
+package dgnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgrelay"
+	"dandeliongap.example/dandeliongap/dgsettings"
+)
+
+// adopt takes a relayed object if it is newer than the one held.
+func (c *control) adopt(now dandeliongap.Instant, obj dandeliongap.Object) {
+	if c.set.Adopt(now, obj) {
+		c.applied(now, obj.Name)
+	}
+}
+
+// applied puts an adopted object in force and passes it on.
+func (c *control) applied(now dandeliongap.Instant, name dandeliongap.ObjectName) {
+	obj, _ := c.set.Get(name)
+	c.log.Info("relay", "Rule", dgrelay.C1, "Choice", "adopt", "Object", name, "Version", obj.Version)
+	if err := c.apply1(now, obj); err != nil {
+		c.log.Error("relayed object not readable", "Object", name, "Version", obj.Version, "Error", err)
+	}
+	c.relayActions = c.relay.Adopted(c.rng, c.relayActions)
+	c.planDue = now
+	c.dirty = true
+}
+
+// apply1 decodes one object and replaces the state that it holds. An object that
+// cannot be decoded leaves the state as it was.
+func (c *control) apply1(now dandeliongap.Instant, obj dandeliongap.Object) error {
+	switch obj.Name {
+	case dgrelay.Deployment:
+		return c.applyDeployment(obj)
+	case dgrelay.Zones:
+		return c.applyZones(now, obj)
+	case dgrelay.Members:
+		return c.applyMembers(now, obj)
+	case dgrelay.Placement:
+		return c.applyTable(now, obj)
+	case dgrelay.Catalog:
+		return c.applyCatalog(obj)
+	default:
+		return fmt.Errorf("object %s: %w", obj.Name, dandeliongap.ErrNotFound)
+	}
+}
+
+// deploymentObject is the body of state/deployment.
+type deploymentObject struct {
+	ChangeID string `json:"ChangeId"`
+	Text     string
+	Recent   []string `json:",omitempty"` // ids of earlier changes, newest last
+}
+
+func (c *control) applyDeployment(obj dandeliongap.Object) error {
+	if obj.Deleted {
+		return fmt.Errorf("the configuration was deleted; the last one stays in force: %w", dandeliongap.ErrNotFound)
+	}
+	var d deploymentObject
+	if err := json.Unmarshal(obj.Body, &d); err != nil {
+		return fmt.Errorf("configuration: %w: %w", dandeliongap.ErrInvalid, err)
+	}
+	parsed, faults := dgsettings.ParseDeployment("version "+strconv.FormatUint(uint64(obj.Version), 10), []byte(d.Text))
+	if faults.Any() {
+		return fmt.Errorf("configuration: %w: %s", dandeliongap.ErrInvalid, faults)
+	}
+	c.deployment = parsed
+	return nil
+}
+
+func (c *control) applyZones(now dandeliongap.Instant, obj dandeliongap.Object) error {
+	out := map[dandeliongap.ZoneName]bool{}
+	if !obj.Deleted {
+		z, err := dgrelay.DecodeZones(obj.Body)
+		if err != nil {
+			return err
+		}
+		for _, name := range z.Out {
+			out[name] = true
+		}
+	}
+	if out[c.self.Zone] && !c.zonesOut[c.self.Zone] {
+		c.zoneOutAt.Store(int64(now))
+	}
+	c.zonesOut = out
+	return nil
+}
+
+func (c *control) applyMembers(now dandeliongap.Instant, obj dandeliongap.Object) error {
+	var list dgrelay.List
+	if !obj.Deleted {
+		decoded, err := dgrelay.DecodeList(obj.Body)
+		if err != nil {
+			return err
+		}
+		list = decoded
+	}
+	c.list = list
+	c.memberActions = c.member.Members(now, obj.Version, !obj.Deleted, list, c.memberActions)
+	c.relay.Members(list.Members)
+	c.holdingActions = c.holdings.Members(now, obj.Version, list.Members, c.holdingActions)
+	keep := map[string]bool{}
+	for _, m := range list.Members {
+		keep[m.PeerAddress] = true
+	}
+	c.peers.Forget(keep)
+	return nil
+}
+
+func (c *control) applyTable(now dandeliongap.Instant, obj dandeliongap.Object) error {
+	var table dgrelay.Table
+	if !obj.Deleted {
+		decoded, err := dgrelay.DecodeTable(obj.Body)
+		if err != nil {
+			return err
+		}
+		table = decoded
+	}
+	c.table = table
+	c.moves.Observe(now, table.Rows)
+	c.holdingActions = c.holdings.Table(now, obj.Version, table, c.holdingActions)
+	return nil
+}
+
+// catalogObject is the body of state/catalog.
+type catalogObject struct {
+	Groups []struct {
+		Service   dandeliongap.ServiceName
+		Snapshots []dandeliongap.Snapshot
+	}
+}
+
+func (c *control) applyCatalog(obj dandeliongap.Object) error {
+	if obj.Deleted {
+		c.catalog = nil
+		return nil
+	}
+	catalog, err := decodeCatalog(obj.Body)
+	if err != nil {
+		return err
+	}
+	c.catalog = catalog
+	return nil
+}
+
+// decodeCatalog reads the body of state/catalog. Its error is
+// dandeliongap.ErrInvalid: a part outside of the snapshot or in two shards would
+// make the coverage false.
+func decodeCatalog(body []byte) (dandeliongap.Catalog, error) {
+	var o catalogObject
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil {
+		return nil, fmt.Errorf("catalog: %w: %w", dandeliongap.ErrInvalid, err)
+	}
+	catalog := dandeliongap.Catalog{}
+	for _, g := range o.Groups {
+		var last dandeliongap.IndexVersion
+		for _, s := range g.Snapshots {
+			if s.Version <= last {
+				return nil, fmt.Errorf("catalog: %s: version %d does not follow %d: %w", g.Service, s.Version, last, dandeliongap.ErrInvalid)
+			}
+			last = s.Version
+			if err := checkSnapshot(g.Service, &s); err != nil {
+				return nil, err
+			}
+		}
+		catalog[g.Service] = g.Snapshots
+	}
+	return catalog, nil
+}
+
+func checkSnapshot(group dandeliongap.ServiceName, s *dandeliongap.Snapshot) error {
+	seen := make(map[dandeliongap.PartID]bool, s.Parts)
+	for _, shard := range s.Shards {
+		for _, p := range shard.Parts {
+			if int(p) >= s.Parts || seen[p] {
+				return fmt.Errorf("catalog: %s version %d: part %d is outside the snapshot or in two shards: %w",
+					group, s.Version, p, dandeliongap.ErrInvalid)
+			}
+			seen[p] = true
+		}
+	}
+	if len(seen) != s.Parts {
+		return fmt.Errorf("catalog: %s version %d: %d of %d parts have a shard: %w",
+			group, s.Version, len(seen), s.Parts, dandeliongap.ErrInvalid)
+	}
+	return nil
+}
--- /dev/null
+++ b/dgnode/entry.go
@@ -0,0 +1,204 @@
+package dgnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgfanout"
+	"dandeliongap.example/dandeliongap/dgpeer"
+	"dandeliongap.example/dandeliongap/dgwire"
+	"github.com/charmbracelet/log"
+)
+
+// entry runs the queries that callers send to this VM.
+type entry struct {
+	clock       clock
+	incarnation uint64
+	view        *atomic.Pointer[dandeliongap.View]
+	gates       *gates
+	peers       *dgpeer.Sender
+	log         *log.Logger
+	stats       *stats
+
+	numbers   atomic.Uint64
+	mailboxes mailboxes
+
+	mu      sync.Mutex // guards planner and rng
+	planner dgfanout.Planner
+	rng     *rand.Rand
+}
+
+// run drives one query to its end. When ctx ends the caller has hung up.
+func (e *entry) run(ctx context.Context, req dgfanout.Request, body []byte) dgfanout.Result {
+	req.Entry = e.incarnation
+	req.Number = e.numbers.Add(1)
+	box := e.mailboxes.open(req.Number)
+	defer e.mailboxes.close(req.Number)
+	d := &drive{e: e, req: req, body: body, box: box}
+	return d.run(ctx)
+}
+
+// drive is one query under way.
+type drive struct {
+	e    *entry
+	req  dgfanout.Request
+	body []byte
+	box  *mailbox
+	view *dandeliongap.View
+	q    *dgfanout.Query
+
+	actions []dgfanout.Action
+	spare   []dgfanout.Answer
+}
+
+func (d *drive) run(ctx context.Context) dgfanout.Result {
+	d.view = d.e.view.Load()
+	d.decide(func(now dandeliongap.Instant) {
+		d.q, d.actions = d.e.planner.Start(now, d.view, d.req, d.e.rng, d.actions)
+	})
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !d.q.Done() {
+		timer.Reset(max(d.q.Next().Sub(d.e.clock.now()), 0))
+		select {
+		case <-d.box.ready:
+			d.take()
+		case <-timer.C:
+			d.decide(func(now dandeliongap.Instant) {
+				d.actions = d.e.planner.Tick(now, d.view, d.q, d.e.rng, d.actions)
+			})
+		case <-ctx.Done():
+			d.decide(func(now dandeliongap.Instant) {
+				d.actions = d.e.planner.HangUp(now, d.q, d.actions)
+			})
+		}
+	}
+	return d.q.Result()
+}
+
+// take passes the answers that arrived to the query.
+func (d *drive) take() {
+	answers := d.box.take(d.spare)
+	d.spare = answers
+	if !d.req.Action {
+		parse(answers)
+	}
+	for i := range answers {
+		d.decide(func(now dandeliongap.Instant) {
+			d.actions = d.e.planner.Answer(now, d.view, d.q, answers[i], d.e.rng, d.actions)
+		})
+	}
+}
+
+// parse reads the bodies of answers outside of the planner's lock.
+func parse(answers []dgfanout.Answer) {
+	for i := range answers {
+		if answers[i].Status != dandeliongap.SubAnswered {
+			continue
+		}
+		body, err := dgfanout.ParseBody(answers[i].Body)
+		if err == nil {
+			answers[i].Parsed = &body
+		}
+	}
+}
+
+// decide runs one event under the planner's lock and carries out the actions.
+func (d *drive) decide(event func(now dandeliongap.Instant)) {
+	d.view = d.e.view.Load()
+	d.actions = d.actions[:0]
+	d.e.mu.Lock()
+	event(d.e.clock.now())
+	d.e.mu.Unlock()
+	for i := range d.actions {
+		d.perform(&d.actions[i])
+	}
+}
+
+func (d *drive) perform(a *dgfanout.Action) {
+	d.logDecision(a)
+	switch a.Kind {
+	case dgfanout.Send:
+		d.send(a)
+	case dgfanout.Cancel:
+		d.cancel(a)
+	}
+}
+
+func (d *drive) send(a *dgfanout.Action) {
+	if a.Owner == d.view.Self {
+		d.sendLocal(a)
+		return
+	}
+	d.e.stats.remote.Add(1)
+	d.e.peers.Submit(d.view.Members[a.Owner].PeerAddress, &dgwire.SubRequest{
+		Id:             dgwire.FromSubID(a.ID),
+		Replica:        string(a.Replica),
+		Class:          dgwire.FromClass(a.Class),
+		Index:          uint64(a.Index),
+		Action:         d.req.Action,
+		Key:            string(d.req.Key),
+		DeadlineUnixMs: d.e.clock.wall(a.Deadline).UnixMilli(),
+	}, d.body)
+}
+
+func (d *drive) sendLocal(a *dgfanout.Action) {
+	id, replica, box := a.ID, a.Replica, d.box
+	d.e.stats.local.Add(1)
+	put := func(answer dandeliongap.BackendAnswer, mark dandeliongap.Mark) {
+		box.put(answerOf(id, replica, answer, mark))
+	}
+	g := d.e.gates.get(a.Replica)
+	if g == nil {
+		put(dandeliongap.BackendAnswer{
+			Status: dandeliongap.SubNotRun,
+			Reason: dandeliongap.ReasonNotOwner,
+		}, dandeliongap.Mark{})
+		return
+	}
+	g.offer(&work{
+		req: dandeliongap.BackendRequest{
+			ID:     a.ID,
+			Class:  a.Class,
+			Index:  a.Index,
+			Action: d.req.Action,
+			Key:    d.req.Key,
+			Body:   d.body,
+		},
+		reply: put,
+	}, a.Class, a.Deadline)
+}
+
+func (d *drive) cancel(a *dgfanout.Action) {
+	if a.Owner != d.view.Self {
+		d.e.peers.Cancel(d.view.Members[a.Owner].PeerAddress, a.ID, a.Replica)
+		return
+	}
+	if g := d.e.gates.get(a.Replica); g != nil {
+		g.cancel(a.ID)
+	}
+}
+
+func (d *drive) logDecision(a *dgfanout.Action) {
+	if a.Kind == dgfanout.Finish {
+		r := d.q.Result()
+		d.e.log.Info("finish", "Rule", a.Rule, "Query", d.req.Number, "Service", d.req.Service, "Class", d.req.Class,
+			"Outcome", r.Outcome, "Reason", r.Reason, "Index", r.Index, "Merged", r.Merged, "Total", r.Total)
+		return
+	}
+	d.e.log.Info("routing", "Rule", a.Rule, "Choice", a.Kind, "Request", a.ID, "Replica", a.Replica,
+		"Owner", a.Owner, "Class", a.Class, "Index", a.Index)
+}
+
+// lost is called for a sub-request that could not be handed to its owner.
+func (e *entry) lost(id dandeliongap.SubID, replica dandeliongap.ReplicaID, notRun bool) {
+	status := dandeliongap.SubUnknown
+	if notRun {
+		status = dandeliongap.SubNotRun
+	}
+	e.mailboxes.put(dgfanout.Answer{ID: id, Replica: replica, Status: status, Reason: dandeliongap.ReasonConnection})
+}
--- /dev/null
+++ b/dgnode/stats.go
@@ -0,0 +1,153 @@
+package dgnode
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	statsSlots    = 6
+	statsSlot     = 10 * time.Second
+	maxLatencyUs  = 60_000_000
+	latencyDigits = 2
+)
+
+// stats counts what this VM did. The counters are in requests unless their name
+// says otherwise.
+type stats struct {
+	vars expvar.Map
+
+	remote, local                      expvar.Int // sub-requests by where the owner is
+	answered, partial, notRun, unknown expvar.Int // callers' requests by outcome
+	platformCalls                      expvar.Int
+	peerBytesOut, peerBytesIn          expvar.Int // control messages, bytes
+
+	mu       sync.Mutex
+	services map[dandeliongap.ServiceName]*serviceStats
+}
+
+func newStats() *stats {
+	s := &stats{services: map[dandeliongap.ServiceName]*serviceStats{}}
+	for name, v := range map[string]*expvar.Int{
+		"SubRequestsRemote":    &s.remote,
+		"SubRequestsLocal":     &s.local,
+		"RequestsAnswered":     &s.answered,
+		"RequestsPartial":      &s.partial,
+		"RequestsNotRun":       &s.notRun,
+		"RequestsUnknown":      &s.unknown,
+		"PlatformCalls":        &s.platformCalls,
+		"ControlBytesSent":     &s.peerBytesOut,
+		"ControlBytesReceived": &s.peerBytesIn,
+	} {
+		s.vars.Set(name, v)
+	}
+	return s
+}
+
+// serviceStats holds the last minute of one service in slots of 10 s.
+type serviceStats struct {
+	slots [statsSlots]statsInterval
+}
+
+type statsInterval struct {
+	start         time.Duration
+	latency       *hdrhistogram.Histogram // microseconds
+	merged, total int64                   // parts
+	refused       int64
+}
+
+// serviceSummary is the last minute of one service for operators.
+type serviceSummary struct {
+	Requests int64
+	Refused  int64
+	Merged   int64 // parts
+	Total    int64 // parts
+	P50Ms    float64
+	P99Ms    float64
+}
+
+// observe counts the end of one caller's request.
+func (s *stats) observe(now dandeliongap.Instant, service dandeliongap.ServiceName, outcome dandeliongap.Outcome, latency time.Duration, merged, total int) {
+	s.count(outcome, merged < total)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv := s.services[service]
+	if sv == nil {
+		sv = &serviceStats{}
+		s.services[service] = sv
+	}
+	i := sv.interval(time.Duration(now))
+	if outcome != dandeliongap.OutcomeAnswered {
+		i.refused++
+		return
+	}
+	_ = i.latency.RecordValue(min(latency.Microseconds(), maxLatencyUs))
+	i.merged += int64(merged)
+	i.total += int64(total)
+}
+
+func (s *stats) count(outcome dandeliongap.Outcome, partial bool) {
+	switch {
+	case outcome == dandeliongap.OutcomeNotRun:
+		s.notRun.Add(1)
+	case outcome == dandeliongap.OutcomeUnknown:
+		s.unknown.Add(1)
+	case partial:
+		s.partial.Add(1)
+	default:
+		s.answered.Add(1)
+	}
+}
+
+func (sv *serviceStats) interval(now time.Duration) *statsInterval {
+	start := now.Truncate(statsSlot)
+	i := &sv.slots[int(now/statsSlot)%statsSlots]
+	if i.latency == nil || i.start != start {
+		*i = statsInterval{start: start, latency: hdrhistogram.New(1, maxLatencyUs, latencyDigits)}
+	}
+	return i
+}
+
+// lastMinute summarises each service that had requests.
+func (s *stats) lastMinute(now dandeliongap.Instant) map[dandeliongap.ServiceName]serviceSummary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[dandeliongap.ServiceName]serviceSummary{}
+	for name, sv := range s.services {
+		if sum, ok := sv.summary(time.Duration(now)); ok {
+			out[name] = sum
+		}
+	}
+	return out
+}
+
+func (sv *serviceStats) summary(now time.Duration) (serviceSummary, bool) {
+	all := hdrhistogram.New(1, maxLatencyUs, latencyDigits)
+	var sum serviceSummary
+	for i := range sv.slots {
+		in := &sv.slots[i]
+		if in.latency == nil || now-in.start > statsSlots*statsSlot {
+			continue
+		}
+		all.Merge(in.latency)
+		sum.Merged += in.merged
+		sum.Total += in.total
+		sum.Refused += in.refused
+	}
+	sum.Requests = all.TotalCount() + sum.Refused
+	sum.P50Ms = float64(all.ValueAtQuantile(50)) / 1000
+	sum.P99Ms = float64(all.ValueAtQuantile(99)) / 1000
+	return sum, sum.Requests > 0
+}
+
+// counter returns the value of one counter, 0 if there is none.
+func (s *stats) counter(name string) int64 {
+	if v, ok := s.vars.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
--- a/view.go
+++ b/view.go
@@ -118,7 +118,4 @@
 	Placement  map[ReplicaID]Placement
 	Serving    bool   // false: start no new work
 	Why        Reason // why Serving is false
-	// RightsEnd is the instant at which this VM's right to send to its replicas
-	// ends unless it is extended.
-	RightsEnd Instant
 }
