--- /dev/null
+++ b/dgrelay/codec.go
@@ -0,0 +1,276 @@
+package dgrelay
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// List is the content of state/members.
+type List struct {
+	// Members is sorted by rank, which is also the order of the contact vector.
+	Members []dandeliongap.Member
+	// Before holds the VM names of earlier lists that dgmember still counts
+	// (its rule F4), each sorted.
+	Before [][]dandeliongap.VMName
+	// Write is the random id of the write, compared after a lost answer.
+	Write string
+}
+
+// Table is the content of state/placement.
+type Table struct {
+	Rows []dandeliongap.Placement // sorted by replica
+	// Members and Config are the versions of state/members and state/deployment
+	// that the rows were planned with.
+	Members dandeliongap.Version
+	Config  dandeliongap.Version
+	// Write is the random id of the write, compared after a lost answer.
+	Write string
+}
+
+// ZonesOut is the content of state/zones.
+type ZonesOut struct {
+	Out   []dandeliongap.ZoneName // sorted
+	Write string
+}
+
+// maxBody is the platform's limit on the value of an object.
+const maxBody = 1 << 20
+
+// CompareRank orders members by the xxhash of their ids, then by the ids.
+func CompareRank(a, b dandeliongap.MemberID) int {
+	ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
+	switch {
+	case ha < hb:
+		return -1
+	case ha > hb:
+		return 1
+	}
+	return strings.Compare(string(a), string(b))
+}
+
+// SortByRank sorts members by rank.
+func SortByRank(ms []dandeliongap.Member) {
+	slices.SortFunc(ms, func(a, b dandeliongap.Member) int { return CompareRank(a.ID, b.ID) })
+}
+
+var stateNames = [...]string{
+	dandeliongap.MemberJoining: "joining", dandeliongap.MemberLive: "live", dandeliongap.MemberLeaving: "leaving",
+}
+
+type memberJSON struct {
+	ID            dandeliongap.MemberID
+	VM            dandeliongap.VMName
+	Zone          dandeliongap.ZoneName
+	CallerAddress string
+	PeerAddress   string
+	State         string
+}
+
+type listJSON struct {
+	Members []memberJSON
+	Before  [][]dandeliongap.VMName `json:",omitempty"`
+	Write   string                  `json:",omitempty"`
+}
+
+type rowJSON struct {
+	Replica dandeliongap.ReplicaID
+	Owner   dandeliongap.MemberID `json:",omitempty"`
+	Epoch   dandeliongap.Epoch
+	Former  []dandeliongap.MemberID `json:",omitempty"`
+}
+
+type tableJSON struct {
+	Members dandeliongap.Version
+	Config  dandeliongap.Version
+	Rows    []rowJSON
+	Write   string `json:",omitempty"`
+}
+
+// EncodeList returns the body of state/members. Its errors are ErrInvalid for a
+// list that DecodeList would refuse and ErrTooLarge.
+func EncodeList(l List) ([]byte, error) {
+	if err := checkList(l); err != nil {
+		return nil, err
+	}
+	j := listJSON{Members: make([]memberJSON, 0, len(l.Members)), Before: l.Before, Write: l.Write}
+	for _, m := range l.Members {
+		j.Members = append(j.Members, memberJSON{m.ID, m.VM, m.Zone, m.CallerAddress, m.PeerAddress, stateNames[m.State]})
+	}
+	return encode(j)
+}
+
+// DecodeList returns the list in a body of state/members; its error is
+// ErrInvalid.
+func DecodeList(body []byte) (List, error) {
+	var j listJSON
+	if err := decode(body, &j); err != nil {
+		return List{}, err
+	}
+	l := List{Before: j.Before, Write: j.Write}
+	for _, m := range j.Members {
+		state := slices.Index(stateNames[:], m.State)
+		if state < 0 {
+			return List{}, fmt.Errorf("member %q: state %q: %w", m.ID, m.State, dandeliongap.ErrInvalid)
+		}
+		l.Members = append(l.Members, dandeliongap.Member{
+			ID: m.ID, VM: m.VM, Zone: m.Zone, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress,
+			State: dandeliongap.MemberState(state),
+		})
+	}
+	if err := checkList(l); err != nil {
+		return List{}, err
+	}
+	return l, nil
+}
+
+func checkList(l List) error {
+	for i, m := range l.Members {
+		if err := CheckMember(m); err != nil {
+			return err
+		}
+		if i > 0 && CompareRank(l.Members[i-1].ID, m.ID) >= 0 {
+			return fmt.Errorf("member %q: listed twice or out of rank order: %w", m.ID, dandeliongap.ErrInvalid)
+		}
+	}
+	for _, vms := range l.Before {
+		if len(vms) == 0 || !ascending(vms) {
+			return fmt.Errorf("earlier list: empty or not sorted: %w", dandeliongap.ErrInvalid)
+		}
+	}
+	return nil
+}
+
+// CheckMember reports a member record with an empty id or VM name, an unknown
+// state, or an address that is not "IP:port"; the error is ErrInvalid.
+func CheckMember(m dandeliongap.Member) error {
+	if m.ID == "" || m.VM == "" {
+		return fmt.Errorf("member %q of VM %q: empty name: %w", m.ID, m.VM, dandeliongap.ErrInvalid)
+	}
+	if int(m.State) >= len(stateNames) {
+		return fmt.Errorf("member %q: state %d: %w", m.ID, m.State, dandeliongap.ErrInvalid)
+	}
+	for _, a := range [...]string{m.CallerAddress, m.PeerAddress} {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("member %q: address %q: %w", m.ID, a, dandeliongap.ErrInvalid)
+		}
+	}
+	return nil
+}
+
+// EncodeTable returns the body of state/placement. Its errors are ErrInvalid for
+// a table that DecodeTable would refuse and ErrTooLarge.
+func EncodeTable(t Table) ([]byte, error) {
+	if err := checkTable(t); err != nil {
+		return nil, err
+	}
+	j := tableJSON{Members: t.Members, Config: t.Config, Rows: make([]rowJSON, 0, len(t.Rows)), Write: t.Write}
+	for _, r := range t.Rows {
+		j.Rows = append(j.Rows, rowJSON(r))
+	}
+	return encode(j)
+}
+
+// DecodeTable returns the table in a body of state/placement; its error is
+// ErrInvalid.
+func DecodeTable(body []byte) (Table, error) {
+	var j tableJSON
+	if err := decode(body, &j); err != nil {
+		return Table{}, err
+	}
+	t := Table{Members: j.Members, Config: j.Config, Rows: make([]dandeliongap.Placement, 0, len(j.Rows)), Write: j.Write}
+	for _, r := range j.Rows {
+		t.Rows = append(t.Rows, dandeliongap.Placement(r))
+	}
+	if err := checkTable(t); err != nil {
+		return Table{}, err
+	}
+	return t, nil
+}
+
+func checkTable(t Table) error {
+	for i, r := range t.Rows {
+		switch {
+		case r.Replica == "":
+			return fmt.Errorf("row %d: empty replica: %w", i, dandeliongap.ErrInvalid)
+		case i > 0 && t.Rows[i-1].Replica >= r.Replica:
+			return fmt.Errorf("row of %q: listed twice or out of order: %w", r.Replica, dandeliongap.ErrInvalid)
+		case r.Epoch == 0:
+			return fmt.Errorf("row of %q: epoch 0: %w", r.Replica, dandeliongap.ErrInvalid)
+		case slices.Contains(r.Former, ""):
+			return fmt.Errorf("row of %q: empty former owner: %w", r.Replica, dandeliongap.ErrInvalid)
+		}
+	}
+	return nil
+}
+
+// EncodeZones returns the body of state/zones. Its errors are ErrInvalid for
+// names that DecodeZones would refuse and ErrTooLarge.
+func EncodeZones(z ZonesOut) ([]byte, error) {
+	if !ascending(z.Out) {
+		return nil, fmt.Errorf("zones %q: empty name or not sorted: %w", z.Out, dandeliongap.ErrInvalid)
+	}
+	return encode(z)
+}
+
+// DecodeZones returns the zones in a body of state/zones; its error is
+// ErrInvalid.
+func DecodeZones(body []byte) (ZonesOut, error) {
+	var z ZonesOut
+	if err := decode(body, &z); err != nil {
+		return ZonesOut{}, err
+	}
+	if !ascending(z.Out) {
+		return ZonesOut{}, fmt.Errorf("zones %q: empty name or not sorted: %w", z.Out, dandeliongap.ErrInvalid)
+	}
+	return z, nil
+}
+
+// ascending reports whether the names are sorted, unique and not empty.
+func ascending[T ~string](names []T) bool {
+	var last T
+	for _, n := range names {
+		if n <= last {
+			return false
+		}
+		last = n
+	}
+	return true
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", dandeliongap.ErrInvalid, err)
+	}
+	if len(b) > maxBody {
+		return nil, fmt.Errorf("body of %d bytes: %w", len(b), dandeliongap.ErrTooLarge)
+	}
+	return b, nil
+}
+
+// decode refuses unknown fields, data after the value and bodies over the
+// platform's limit.
+func decode(body []byte, v any) error {
+	if len(body) > maxBody {
+		return fmt.Errorf("body of %d bytes: %w", len(body), dandeliongap.ErrInvalid)
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", dandeliongap.ErrInvalid, err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("data after the value: %w", dandeliongap.ErrInvalid)
+	}
+	return nil
+}
--- /dev/null
+++ b/dgrelay/set.go
@@ -0,0 +1,123 @@
+package dgrelay
+
+import (
+	"dandeliongap.example/dandeliongap"
+)
+
+// names is the order of the objects in a Set and in digests: small objects that
+// others depend on come first.
+var names = [...]dandeliongap.ObjectName{Zones, Members, Placement, Catalog, Deployment}
+
+func index(name dandeliongap.ObjectName) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Set holds the newest known version of each relayed object. The zero value is
+// empty and ready to use.
+type Set struct {
+	objects [len(names)]dandeliongap.Object
+	adopted [len(names)]dandeliongap.Instant
+}
+
+// Adopt stores obj if it is a relayed object with a higher version than the one
+// held (C1) and reports whether it did. The set keeps the body; nobody may
+// change it afterwards.
+func (s *Set) Adopt(now dandeliongap.Instant, obj dandeliongap.Object) bool {
+	i := index(obj.Name)
+	if i < 0 || obj.Version <= s.objects[i].Version {
+		return false
+	}
+	if obj.Deleted {
+		obj.Body = nil
+	}
+	s.objects[i] = obj
+	s.adopted[i] = now
+	return true
+}
+
+// AdoptList stores the result of listing the kind "state" at the given version
+// of the collection and returns the names of objects that changed. A held object
+// that is missing from the list was deleted; the deletion gets the version of
+// the collection, below which it happened.
+func (s *Set) AdoptList(now dandeliongap.Instant, objs []dandeliongap.Object, at dandeliongap.Version) []dandeliongap.ObjectName {
+	var changed []dandeliongap.ObjectName
+	var listed [len(names)]bool
+	for _, o := range objs {
+		if i := index(o.Name); i >= 0 {
+			listed[i] = true
+		}
+		if s.Adopt(now, o) {
+			changed = append(changed, o.Name)
+		}
+	}
+	for i, name := range names {
+		o := &s.objects[i]
+		if listed[i] || o.Version == 0 || o.Deleted {
+			continue
+		}
+		if s.Adopt(now, dandeliongap.Object{Name: name, Version: at, Deleted: true}) {
+			changed = append(changed, name)
+		}
+	}
+	return changed
+}
+
+// Get returns the held version of an object, which may be a deletion; false if
+// none is held.
+func (s *Set) Get(name dandeliongap.ObjectName) (dandeliongap.Object, bool) {
+	i := index(name)
+	if i < 0 || s.objects[i].Version == 0 {
+		return dandeliongap.Object{}, false
+	}
+	return s.objects[i], true
+}
+
+// AdoptedAt returns when the held version of an object was adopted.
+func (s *Set) AdoptedAt(name dandeliongap.ObjectName) (dandeliongap.Instant, bool) {
+	i := index(name)
+	if i < 0 || s.objects[i].Version == 0 {
+		return 0, false
+	}
+	return s.adopted[i], true
+}
+
+// Digest returns name and version of each object held.
+func (s *Set) Digest() []ObjectVersion {
+	d := make([]ObjectVersion, 0, len(names))
+	for _, o := range s.objects {
+		if o.Version > 0 {
+			d = append(d, ObjectVersion{Name: o.Name, Version: o.Version})
+		}
+	}
+	return d
+}
+
+// Newer returns the objects that are newer than the digest says, with bodies of
+// at most limit bytes in total, but at least one object; the rest goes with the
+// next message. MessageBytes is the usual limit.
+func (s *Set) Newer(digest []ObjectVersion, limit int) []dandeliongap.Object {
+	var theirs [len(names)]dandeliongap.Version
+	for _, v := range digest {
+		if i := index(v.Name); i >= 0 {
+			theirs[i] = max(theirs[i], v.Version)
+		}
+	}
+	var newer []dandeliongap.Object
+	size := 0
+	for i, o := range s.objects {
+		if o.Version <= theirs[i] {
+			continue
+		}
+		if size += len(o.Body); size > limit && len(newer) > 0 {
+			size -= len(o.Body)
+			continue
+		}
+		newer = append(newer, o)
+	}
+	return newer
+}
