--- a/dgmember/action.go
+++ b/dgmember/action.go
@@ -47,24 +47,25 @@
 // Kinds of actions.
 const (
 	KindNone Kind = iota
-	// KindRenew: write the lease object with body Lease{Member, Attempt} if its
-	// version is Version (0: create it), directly or, if Via is set, through the
-	// peer Via. Report RenewOK, RenewConflict or RenewUnreachable with Attempt.
+	// KindRenew: write Lease to the own lease object if its version is Version
+	// (0: create it), directly or, if Via is set, through the peer Via. Report
+	// RenewOK, RenewConflict or RenewUnreachable.
 	KindRenew
-	// KindReadBack: read the own lease object, directly or through Via. Report
-	// LeaseReadBack, or RenewUnreachable with Attempt if that fails.
+	// KindReadBack: read the own lease object. Report LeaseReadBack, or
+	// RenewUnreachable if that fails.
 	KindReadBack
-	// KindExchange: exchange with Member (empty: with a seed address of the
-	// settings). Report Exchanged or ExchangeFailed.
+	// KindExchange: exchange with Member, with the own record in the request.
+	// Report Exchanged or ExchangeFailed, as for every other exchange.
 	KindExchange
-	// KindReadLease: read the lease object of Member. Report SuspectLease.
+	// KindReadLease: read the lease object of Member. Report SuspectLease, or
+	// SuspectFailed.
 	KindReadLease
 	// KindDeleteLease: delete the lease object of Member if its version is
-	// Version. Report LeaseDeleted.
+	// Version. Report LeaseDeleted, LeaseConflict or SuspectFailed.
 	KindDeleteLease
 	// KindWriteMembers: write List to state/members if its version is still
-	// Version. Report MembersWritten; a successful write is also adopted through
-	// the relay and comes back as Members.
+	// Version (0: create it). Set List.Write to a random id. Adopt the object in
+	// the relay and report Members after a success, else MembersNotWritten.
 	KindWriteMembers
 	// KindStopLost: the own lease was deleted or the member was dropped. Stop
 	// all sending at once and start again with a new incarnation.
@@ -92,22 +93,22 @@
 	Member  dandeliongap.MemberID
 	Via     dandeliongap.MemberID
 	Version dandeliongap.Version
-	Attempt uint64 // number of a renewal, rises
-	// Expires is how long after the event that caused it the action may be
-	// carried out; 0: without limit.
-	Expires time.Duration
+	Lease   Lease
 	List    dgrelay.List
 }
 
 // String returns the action as log lines show it.
 func (a Action) String() string {
-	return fmt.Sprintf("%s %s member=%s via=%s version=%d attempt=%d", a.Rule, a.Kind, a.Member, a.Via, a.Version, a.Attempt)
+	return fmt.Sprintf("%s %s member=%s via=%s version=%d attempt=%d", a.Rule, a.Kind, a.Member, a.Via, a.Version, a.Lease.Attempt)
 }
 
 // Lease is the content of a lease object.
 type Lease struct {
 	Member  dandeliongap.MemberID
-	Attempt uint64
+	Attempt uint64 // number of the renewal, rises
+	// TTL is how long after this renewal was sent the holder may use it. A VM
+	// that fences the holder may have a list of another size.
+	TTL time.Duration
 }
 
 // Vector is the content of a contact vector.
@@ -122,5 +123,4 @@
 	Sent            dandeliongap.Instant // when the request was sent
 	ReachesPlatform bool
 	Contacts        Vector
-	Record          *dandeliongap.Member // of a sender that is not listed or changed its state
 }
--- /dev/null
+++ b/dgmember/limits.go
@@ -0,0 +1,62 @@
+package dgmember
+
+import "time"
+
+const (
+	// Margin covers different rates of clocks and clocks that differ by 250 ms.
+	Margin = time.Second
+	// PauseAfter is the gap between two events after which the VM was paused;
+	// Tick is due more often.
+	PauseAfter = time.Second
+	// AgeUnit is the unit of ages in a contact vector.
+	AgeUnit = 100 * time.Millisecond
+	// BatchDelay is the time for which changes of the list are collected.
+	BatchDelay = 300 * time.Millisecond
+	// RankStep is the time that each next rank waits longer (L1).
+	RankStep = time.Second
+
+	tickEvery    = 250 * time.Millisecond
+	slowCall     = 500 * time.Millisecond // a call without answer counts as failed
+	firstRetry   = 250 * time.Millisecond
+	retryEvery   = time.Second // failed calls about members
+	joinEvery    = time.Second
+	joinAttempts = 3
+	smallFleet   = 12  // VMs that hear of each other within 3 s
+	largeFleet   = 100 // VMs up to which W is short
+	unlistedRank = 3   // longest wait of a VM that is not listed, in steps of RankStep
+	maxBefore    = 8   // earlier lists that one list may name
+	maxDropped   = 10000 // ids of dropped members that are remembered
+	attemptsKept = 8
+
+	ageUnknown  = 127
+	platformBit = 0x80
+)
+
+// Window returns the contact window W for n VMs.
+func Window(n int) time.Duration {
+	if n <= largeFleet {
+		return 3 * time.Second
+	}
+	return 8 * time.Second
+}
+
+// Interval returns the time between two lease renewals for n VMs.
+func Interval(n int) time.Duration {
+	return max(2*time.Second, time.Duration(n)*time.Second/100)
+}
+
+// TTL returns how long a renewal is valid for n VMs.
+func TTL(n int) time.Duration { return 3 * Interval(n) }
+
+// SuspectAfter returns the time without contact after which a member is
+// suspected. News of a member take longer to arrive in a larger fleet.
+func SuspectAfter(n int) time.Duration {
+	switch {
+	case n <= smallFleet:
+		return 3 * time.Second
+	case n <= largeFleet:
+		return 6 * time.Second
+	default:
+		return 8 * time.Second
+	}
+}
