--- a/dgplacement/action.go
+++ b/dgplacement/action.go
@@ -21,11 +21,10 @@
 	L7
 	L8
 	L9
-	L10
 	ruleCount
 )
 
-var ruleNames = [ruleCount]string{"", "L1", "L2", "L3", "L4", "L5", "L6", "L7", "L8", "L9", "L10"}
+var ruleNames = [ruleCount]string{"", "L1", "L2", "L3", "L4", "L5", "L6", "L7", "L8", "L9"}
 
 // String returns the rule's number as log lines cite it.
 func (r Rule) String() string {
@@ -49,13 +48,12 @@
 	CauseOverloaded       // the owner has more rows than its share
 	CauseUnderused        // another member has too few rows
 	CauseRemoved          // the replica is not in the deployment any more
-	CauseFormer           // a former owner was dropped
 	causeCount
 )
 
 var causeNames = [causeCount]string{
 	"", "new", "owner gone", "owner leaving", "owner outside zone", "leaf with one owner", "owner overloaded",
-	"member underused", "replica removed", "former owner dropped",
+	"member underused", "replica removed",
 }
 
 // String returns the text that log lines use.
