Test the safety of leases and placement under random faults

Cause: two VMs that hold a replica at a time would break its limits. The model has pauses, lost and delayed messages, partitions and outages.

--- a/dgplacement/plan.go
+++ b/dgplacement/plan.go
@@ -68,10 +68,16 @@
 
 // Plan returns the rows of the next table, sorted by replica, and what changes
 // compared with the present one. Without decisions there is nothing to write.
+// After the table object was deleted there are none; it may be written again
+// once no process of the tier runs any more.
 func Plan(now dandeliongap.Instant, in Input) ([]dandeliongap.Placement, []Decision) {
 	if in.Deployment == nil || in.MembersVersion < in.Present.Members || in.Config < in.Present.Config {
 		return in.Present.Rows, nil // L9
 	}
+	if in.Version != 0 && in.Present.Members == 0 {
+		// The table was deleted: nobody knows any more who may still send.
+		return nil, nil
+	}
 	p := newPlanner(now, in)
 	p.assign()
 	p.splitLeaves()
@@ -397,14 +403,20 @@
 // balance moves rows from overloaded hosts and to underused ones (L4).
 func (p *planner) balance() {
 	for _, h := range p.all {
-		for h.over() && p.give(h) {
+		for h.over() {
+			if !p.give(h) {
+				break
+			}
 		}
 	}
 	for _, h := range p.all {
 		if !h.under() {
 			continue
 		}
-		for float64(h.load+1) <= h.share && p.take(h) {
+		for float64(h.load+1) <= h.share {
+			if !p.take(h) {
+				break
+			}
 		}
 	}
 }
--- /dev/null
+++ b/dgplacement/safety_test.go
@@ -0,0 +1,115 @@
+package dgplacement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// deployment has leaves of the given size spread over three zones.
+func deployment(leaves, replicas int) *dandeliongap.Deployment {
+	d := &dandeliongap.Deployment{Services: map[dandeliongap.ServiceName]*dandeliongap.Service{}}
+	for l := range leaves {
+		name := dandeliongap.ServiceName(fmt.Sprintf("leaf%03d", l))
+		s := &dandeliongap.Service{Name: name}
+		for r := range replicas {
+			s.Replicas = append(s.Replicas, dandeliongap.Replica{
+				ID: dandeliongap.ReplicaID(fmt.Sprintf("%s/%d", name, r)), Service: name, Zone: zoneNames[(l+r)%len(zoneNames)],
+			})
+		}
+		d.Services[name] = s
+	}
+	return d
+}
+
+const (
+	simLeaves   = 4
+	simReplicas = 2
+)
+
+func (w *world) live() []*node {
+	var live []*node
+	for _, n := range w.nodes {
+		if !n.dead {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// inject draws one fault. Faults last until another one of their kind or heal.
+func (w *world) inject(t *rapid.T, vms int) {
+	set := func() map[int]bool {
+		s := map[int]bool{}
+		for i := range vms {
+			s[i] = rapid.Bool().Draw(t, "in")
+		}
+		return s
+	}
+	victim := w.live()[rapid.IntRange(0, len(w.live())-1).Draw(t, "victim")]
+	switch rapid.SampledFrom([]string{"pause", "down", "up", "partition", "one-way", "join", "lossy", "restart", "heal"}).Draw(t, "fault") {
+	case "pause":
+		victim.paused = w.now + time.Duration(rapid.IntRange(500, 40000).Draw(t, "ms"))*time.Millisecond
+	case "down":
+		w.down = set()
+	case "up":
+		w.down = map[int]bool{}
+	case "partition":
+		side := set()
+		w.cutIf(vms, func(a, b int) bool { return side[a] != side[b] })
+	case "one-way":
+		side := set()
+		w.cutIf(vms, func(a, b int) bool { return side[a] && !side[b] })
+	case "join":
+		w.cutIf(vms, func(int, int) bool { return false })
+	case "lossy":
+		w.lossy = rapid.SampledFrom([]float64{0, 0.1, 0.33}).Draw(t, "share")
+	case "restart":
+		victim.dead = true
+		w.after(time.Duration(rapid.IntRange(0, 20).Draw(t, "s"))*time.Second, func() { w.boot(victim.vm) })
+	case "heal":
+		w.heal(vms)
+	}
+}
+
+func (w *world) cutIf(vms int, cut func(a, b int) bool) {
+	for a := range vms {
+		for b := range vms {
+			w.cut[[2]int{a, b}] = cut(a, b)
+		}
+	}
+}
+
+func (w *world) heal(vms int) {
+	w.lossy, w.down = 0, map[int]bool{}
+	w.cutIf(vms, func(int, int) bool { return false })
+	for _, n := range w.nodes {
+		n.paused = 0
+	}
+}
+
+// Guards against two holders of a replica, objects that revert, dispatches after
+// a release, and replicas that stay without a holder after all faults ended.
+func TestOneHolderUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.SampledFrom([]int{3, 5, 6}).Draw(t, "vms")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), vms, deployment(simLeaves, simReplicas))
+		w.runFor(20 * time.Second)
+		for range rapid.IntRange(2, 12).Draw(t, "faults") {
+			w.inject(t, vms)
+			w.runFor(time.Duration(rapid.IntRange(100, 30000).Draw(t, "ms")) * time.Millisecond)
+		}
+		w.heal(vms)
+		w.runFor(2 * time.Minute)
+		if w.fault != "" {
+			t.Fatal(w.fault)
+		}
+		if n := w.holders(); n != simLeaves*simReplicas {
+			t.Fatalf("%d of %d replicas have a holder after the faults ended", n, simLeaves*simReplicas)
+		}
+	})
+}
