--- /dev/null
+++ b/dgfanout/api.go
@@ -0,0 +1,120 @@
+package dgfanout
+
+import (
+	"strconv"
+	"time"
+
+	dandeliongap "dandeliongap.example/dandeliongap"
+)
+
+// Request is what a caller asks for. Entry and Number identify the query in the
+// ids of its sub-requests.
+type Request struct {
+	Entry       uint64 // incarnation of the entry VM
+	Number      uint64 // number of the query on the entry VM
+	Service     dandeliongap.ServiceName
+	Class       dandeliongap.Class
+	Action      bool                        // may not be repeated
+	Key         dandeliongap.IdempotencyKey // of an action
+	MinCoverage float64                     // lowest share of parts that the caller accepts, 0 to 1
+	Deadline    dandeliongap.Instant        // 0: the deadline of the service
+	Plain       bool                        // use the baseline policy (R16)
+}
+
+// Kind tells what the driver does with an Action.
+type Kind uint8
+
+// Kinds of actions.
+const (
+	// Send sends one attempt to the owner of the replica.
+	Send Kind = iota
+	// Cancel tells the owner that the answer is not wanted any more.
+	Cancel
+	// Finish answers the caller with Query.Result.
+	Finish
+)
+
+// String returns the name that log lines use.
+func (k Kind) String() string {
+	switch k {
+	case Send:
+		return "send"
+	case Cancel:
+		return "cancel"
+	case Finish:
+		return "finish"
+	default:
+		return "invalid"
+	}
+}
+
+// Rule is the number of a rule in the package comment.
+type Rule uint8
+
+// Rules that actions name.
+const (
+	RuleAdmission   Rule = 1
+	RuleChoice      Rule = 3
+	RuleTrial       Rule = 4
+	RuleHedge       Rule = 6
+	RuleRetry       Rule = 7
+	RuleVersionGone Rule = 9
+	RuleMerge       Rule = 10
+	RuleDeadline    Rule = 11
+	RuleCompletion  Rule = 12
+	RuleCoverage    Rule = 13
+	RuleAction      Rule = 14
+	RuleHangUp      Rule = 15
+	RulePlain       Rule = 16
+)
+
+// String returns "R" and the number.
+func (r Rule) String() string { return "R" + strconv.Itoa(int(r)) }
+
+// Action is one step for the driver. Finish sets only Kind and Rule.
+type Action struct {
+	Kind     Kind
+	Rule     Rule // the rule that led to the action
+	Class    dandeliongap.Class
+	ID       dandeliongap.SubID
+	Replica  dandeliongap.ReplicaID
+	Owner    dandeliongap.MemberID // the member that owned the replica when the attempt was sent
+	Index    dandeliongap.IndexVersion
+	Deadline dandeliongap.Instant // of the attempt; earlier than the query's
+}
+
+// Answer is the result of one attempt as the owner, or the driver for a lost
+// connection, reports it.
+type Answer struct {
+	ID         dandeliongap.SubID
+	Replica    dandeliongap.ReplicaID
+	Status     dandeliongap.SubStatus
+	Reason     dandeliongap.Reason
+	Index      dandeliongap.IndexVersion
+	Mark       dandeliongap.Mark
+	RetryAfter time.Duration
+	Body       []byte
+	// Parsed is the parsed Body of a search if the driver parsed it already,
+	// for example to keep this work out of the lock around the Planner.
+	Parsed *Body
+}
+
+// Accepted is one merged answer.
+type Accepted struct {
+	Service dandeliongap.ServiceName
+	Parts   []dandeliongap.PartID // merged parts, each in one Accepted only; nil for actions; read-only
+	Body    Body                  // of a search
+	Raw     []byte                // the answer as received
+}
+
+// Result is the answer to the caller. The coverage of a search is Merged/Total;
+// both are 0 for actions and for queries that R1 refused.
+type Result struct {
+	Outcome    dandeliongap.Outcome
+	Reason     dandeliongap.Reason // why it was not answered, or not completely
+	RetryAfter time.Duration       // longest wait that a refusal asked for
+	Index      dandeliongap.IndexVersion
+	Merged     int // parts
+	Total      int // parts
+	Accepted   []Accepted
+}
