--- a/dgfanout/planner.go
+++ b/dgfanout/planner.go
@@ -1,49 +1,299 @@
 package dgfanout
 
 import (
-	"math/rand/v2"
+	"time"
 
 	dandeliongap "dandeliongap.example/dandeliongap"
 )
 
+// Hedges (R6).
+const (
+	// hedgeQuantile leaves room in a budget of 5% for retries, and still
+	// hedges all stragglers while they are fewer than 3%.
+	hedgeQuantile = 0.97
+	hedgeFloor    = time.Millisecond
+	hedgeCeiling  = time.Second
+	hedgeDefault  = 50 * time.Millisecond
+	// hedgeMedians bounds the delay when stragglers are so many that they
+	// determine the quantile.
+	hedgeMedians   = 6
+	latencyDefault = 10 * time.Millisecond
+)
+
+// Budget (R8), in sub-requests.
+const (
+	budgetShare   = 0.05 // if the configuration names none
+	budgetInitial = 10
+	budgetMax     = 200
+)
+
+// Times for which a replica is avoided (R4, R5).
+const (
+	backOffFirst  = 100 * time.Millisecond
+	backOffMax    = 5 * time.Second
+	drainAvoid    = 5 * time.Second
+	refusalAvoid  = 10 * time.Millisecond // of a refusal that names no retry-after
+	refusalMax    = time.Second           // longest retry-after that is obeyed without a new attempt
+	notOwnerAvoid = 200 * time.Millisecond
+	goneAvoid     = time.Second
+	zoneOutAvoid  = time.Second
+	// missesLost is the number of attempts without any answer in between after
+	// which a replica is used only if no other one is.
+	missesLost = 3
+)
+
+const (
+	latencyWeight = 0.2                    // of a new sample in the recent latency of a replica
+	markFresh     = 500 * time.Millisecond // age at which the queue length of a mark counts nothing
+	limitFresh    = 2 * time.Second        // age up to which the limit of a mark counts
+	latencyFresh  = 2 * time.Second        // age from which the recent latency fades to the median of the leaf
+	zoneWindow    = 10 * time.Second       // window of the lowest latency of a zone
+	refusalWeight = 1.0 / 16               // of one answer in the share of refusals
+	overloadShare = 0.25                   // share of refusals from which a leaf is overloaded
+)
+
 // Planner is what a VM learns over all its queries. The zero value is ready for
 // use. Its methods must not be called at the same time.
-type Planner struct{}
+type Planner struct {
+	replicas   map[dandeliongap.ReplicaID]*replica
+	leaves     map[dandeliongap.ServiceName]*leaf
+	gone       map[goneKey]dandeliongap.Instant // until when R2 avoids a snapshot
+	tokens     float64
+	share      float64
+	filled     bool
+	deployment *dandeliongap.Deployment
+	plan       viewPlan
+}
+
+type goneKey struct {
+	group   dandeliongap.ServiceName
+	version dandeliongap.IndexVersion
+}
+
+// leaf is what the planner learned about a leaf service.
+type leaf struct {
+	latencies
+	refused float64 // recent share of answers that refuse for overload
+	zones   map[dandeliongap.ZoneName]*nearest
+}
+
+func (l *leaf) overloaded() bool { return l.refused > overloadShare }
+
+func (l *leaf) noteRefusal(refused bool) {
+	sample := 0.0
+	if refused {
+		sample = 1
+	}
+	l.refused += (sample - l.refused) * refusalWeight
+}
+
+// nearest holds the lowest latency of a leaf's replicas in one zone during the
+// current and the previous window. The difference between two zones is their
+// distance.
+type nearest struct {
+	current, previous time.Duration
+	windowEnd         dandeliongap.Instant
+}
 
-// Query is the state of one query.
-type Query struct {
-	next   dandeliongap.Instant
-	done   bool
-	result Result
+func (n *nearest) observe(now dandeliongap.Instant, d time.Duration) {
+	if now >= n.windowEnd {
+		n.previous, n.current = n.current, 0
+		n.windowEnd = now.Add(zoneWindow)
+	}
+	if n.current == 0 || d < n.current {
+		n.current = d
+	}
 }
 
-// Start decides the first step of a query: its snapshot and one attempt for each
-// shard. It appends its actions to dst.
-func (p *Planner) Start(_ dandeliongap.Instant, _ *dandeliongap.View, _ Request, _ *rand.Rand, dst []Action) (*Query, []Action) {
-	q := &Query{done: true, result: Result{Reason: dandeliongap.ReasonUnknownName}}
-	return q, append(dst, Action{Kind: Finish, Rule: RuleAdmission})
+func (n *nearest) lowest() time.Duration {
+	if n.previous == 0 || n.current == 0 {
+		return max(n.previous, n.current)
+	}
+	return min(n.previous, n.current)
 }
 
-// Answer takes the result of an attempt. An answer for an unknown, answered or
-// cancelled attempt, or with a nil q, only updates what the Planner knows of the
-// replica.
-func (p *Planner) Answer(_ dandeliongap.Instant, _ *dandeliongap.View, _ *Query, _ Answer, _ *rand.Rand, dst []Action) []Action {
-	return dst
+// distance returns how much longer an answer takes from other than from n, or 0
+// while it is unknown.
+func (n *nearest) distance(other *nearest) time.Duration {
+	if n.lowest() == 0 || other.lowest() == 0 {
+		return 0
+	}
+	return max(0, other.lowest()-n.lowest())
 }
 
-// Tick takes the decisions that are due, at Query.Next or later.
-func (p *Planner) Tick(_ dandeliongap.Instant, _ *dandeliongap.View, _ *Query, _ *rand.Rand, dst []Action) []Action {
-	return dst
+// replica is what the planner learned about a replica.
+type replica struct {
+	out       int // own outstanding sub-requests
+	known     bool
+	latency   time.Duration // recent
+	latencyAt dandeliongap.Instant
+	mark      dandeliongap.Mark
+	markAt    dandeliongap.Instant
+
+	lost      bool // connection failed or draining: probe after lostUntil
+	probing   bool
+	lostAt    dandeliongap.Instant
+	lostUntil dandeliongap.Instant
+	backOff   time.Duration
+
+	misses    int // attempts without an answer since the last answer
+	slowUntil dandeliongap.Instant
+	slowFor   time.Duration
+
+	refusedUntil  [dandeliongap.ClassCount]dandeliongap.Instant // by urgency
+	notOwner      dandeliongap.MemberID
+	notOwnerUntil dandeliongap.Instant
+	gone          dandeliongap.IndexVersion
+	goneUntil     dandeliongap.Instant
 }
 
-// HangUp ends a query whose caller disconnected.
-func (p *Planner) HangUp(_ dandeliongap.Instant, _ *Query, dst []Action) []Action { return dst }
+// urgency orders the classes, most urgent first.
+func urgency(c dandeliongap.Class) int {
+	switch c {
+	case dandeliongap.ClassUrgent:
+		return 0
+	case dandeliongap.ClassArchive:
+		return 2
+	default:
+		return 1
+	}
+}
 
-// Next returns the instant at which Tick is due.
-func (q *Query) Next() dandeliongap.Instant { return q.next }
+// observe takes the latency of a whole answer.
+func (r *replica) observe(now dandeliongap.Instant, d time.Duration) {
+	d = max(d, time.Microsecond)
+	if !r.known {
+		r.latency = d
+	}
+	r.known = true
+	r.latency += time.Duration(float64(d-r.latency) * latencyWeight)
+	r.latencyAt = now
+}
 
-// Done reports whether the query has finished.
-func (q *Query) Done() bool { return q.done }
+// alive clears what an answer to an attempt that was sent at the given instant
+// disproves. An answer from before the failure proves nothing.
+func (r *replica) alive(sent dandeliongap.Instant) {
+	r.misses, r.slowFor, r.slowUntil = 0, 0, 0
+	if sent >= r.lostAt {
+		r.lost, r.backOff = false, 0
+	}
+}
 
-// Result returns the answer to the caller once Done.
-func (q *Query) Result() Result { return q.result }
+// fail takes a failed connection. Attempts that were under way when the replica
+// was lost do not double its back-off.
+func (r *replica) fail(now, sent dandeliongap.Instant) {
+	if sent < r.lostAt {
+		return
+	}
+	r.backOff = min(max(2*r.backOff, backOffFirst), backOffMax)
+	r.lost, r.lostAt, r.lostUntil = true, now, now.Add(r.backOff)
+}
+
+func (r *replica) drain(now dandeliongap.Instant) {
+	r.lost, r.lostAt, r.lostUntil = true, now, now.Add(drainAvoid)
+}
+
+// miss takes an attempt that was cancelled late, without an answer.
+func (r *replica) miss(now dandeliongap.Instant, waited time.Duration) {
+	if r.known && waited > r.latency {
+		r.observe(now, waited)
+	}
+	r.misses++
+	if r.misses < missesLost || now < r.slowUntil {
+		return
+	}
+	r.slowFor = min(max(2*r.slowFor, backOffFirst), backOffMax)
+	r.slowUntil = now.Add(r.slowFor)
+}
+
+func (r *replica) refuse(until dandeliongap.Instant, from int) {
+	for i := from; i < len(r.refusedUntil); i++ {
+		r.refusedUntil[i] = max(r.refusedUntil[i], until)
+	}
+}
+
+// note takes what an answer tells about a replica. sent is -1 if unknown.
+func (r *replica) note(now, sent dandeliongap.Instant, ans *Answer, owner dandeliongap.MemberID, class dandeliongap.Class, wanted dandeliongap.IndexVersion) {
+	if ans.Mark != (dandeliongap.Mark{}) {
+		r.mark, r.markAt = ans.Mark, now
+	}
+	switch ans.Status {
+	case dandeliongap.SubAnswered:
+		r.alive(sent)
+	case dandeliongap.SubNotRun:
+		r.misses = 0
+	}
+	if ans.Mark.Draining {
+		r.drain(now)
+	}
+	switch ans.Reason {
+	case dandeliongap.ReasonOverload, dandeliongap.ReasonShed:
+		wait := min(max(ans.RetryAfter, refusalAvoid), refusalMax)
+		r.refuse(now.Add(wait), urgency(class))
+	case dandeliongap.ReasonDraining:
+		r.drain(now)
+	case dandeliongap.ReasonZoneOut:
+		r.refuse(now.Add(zoneOutAvoid), 0)
+	case dandeliongap.ReasonNotOwner, dandeliongap.ReasonLease, dandeliongap.ReasonIsolated, dandeliongap.ReasonStopping:
+		r.notOwner, r.notOwnerUntil = owner, now.Add(notOwnerAvoid)
+	case dandeliongap.ReasonVersionGone:
+		r.gone, r.goneUntil = wanted, now.Add(goneAvoid)
+	case dandeliongap.ReasonConnection:
+		r.fail(now, sent)
+	}
+}
+
+// limit returns the requests at the same time that the replica allows. An old
+// mark of a cold replica must not keep requests away after it has warmed up.
+func (r *replica) limit(now dandeliongap.Instant, c *dandeliongap.Replica) float64 {
+	if r.mark.Limit > 0 && now.Sub(r.markAt) <= limitFresh {
+		return float64(r.mark.Limit)
+	}
+	return float64(max(c.Slots, 1))
+}
+
+// queued returns the queue length of the last mark, less the older it is.
+func (r *replica) queued(now dandeliongap.Instant) float64 {
+	age := now.Sub(r.markAt)
+	if age >= markFresh {
+		return 0
+	}
+	return float64(r.mark.Queued) * (1 - float64(age)/float64(markFresh))
+}
+
+// recent returns the recent latency, which fades to the typical one of the leaf
+// so that a replica that was slow long ago is tried again.
+func (r *replica) recent(now dandeliongap.Instant, typical time.Duration) float64 {
+	if !r.known {
+		return float64(typical)
+	}
+	age := now.Sub(r.latencyAt)
+	if age <= latencyFresh {
+		return float64(r.latency)
+	}
+	return float64(typical) + float64(r.latency-typical)*float64(latencyFresh)/float64(age)
+}
+
+func (r *replica) wait(now dandeliongap.Instant, c *dandeliongap.Replica, typical time.Duration) float64 {
+	return (float64(r.out) + r.queued(now) + 1) * r.recent(now, typical) / r.limit(now, c)
+}
+
+// take takes one token for an extra sub-request (R8).
+func (p *Planner) take() bool {
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// fill adds the share of n sub-requests that were sent within the budget.
+func (p *Planner) fill(n int) {
+	p.tokens = min(p.tokens+p.share*float64(n), budgetMax)
+}
+
+// busy reports whether the last fresh mark shows a queue of at least one round
+// of requests, which a hedge would only lengthen.
+func (r *replica) busy(now dandeliongap.Instant) bool {
+	return r.mark.Queued > 0 && r.mark.Queued >= int(r.mark.Limit) && now.Sub(r.markAt) < markFresh
+}
