--- a/dgfanout/plan.go
+++ b/dgfanout/plan.go
@@ -175,10 +175,10 @@
 	}
 	l := &leafPlan{name: name, learned: learned, home: learned.zone(p.plan.home)}
 	p.plan.leaves[name] = l
-	s := p.plan.view.Deployment.Services[name]
-	if s == nil {
+	if p.deployment == nil || p.deployment.Services[name] == nil {
 		return l
 	}
+	s := p.deployment.Services[name]
 	for i := range s.Replicas {
 		if owner, ok := p.plan.owner(&s.Replicas[i]); ok {
 			l.candidates = append(l.candidates, p.candidate(&s.Replicas[i], owner, learned))
--- /dev/null
+++ b/dgfanout/rules_test.go
@@ -0,0 +1,387 @@
+package dgfanout_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	dg "dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgfanout"
+)
+
+var _ = Describe("rules", func() {
+	DescribeTable("R1 refuses as not run without sending (guards against work on a VM that may not serve)",
+		func(change func(*dg.View), req dgfanout.Request, why dg.Reason) {
+			r := newRig(newView(2, 2))
+			r.now = 10 * ms
+			change(r.v)
+			acts := r.start(req)
+			Expect(acts).To(Equal([]dgfanout.Action{{Kind: dgfanout.Finish, Rule: dgfanout.RuleAdmission}}))
+			Expect(r.q.Done()).To(BeTrue())
+			Expect(r.q.Result()).To(Equal(dgfanout.Result{Outcome: dg.OutcomeNotRun, Reason: why}))
+		},
+		Entry("not serving", func(v *dg.View) { v.Serving, v.Why = false, dg.ReasonIsolated }, dgfanout.Request{}, dg.ReasonIsolated),
+		Entry("unknown service", func(*dg.View) {}, dgfanout.Request{Service: "x"}, dg.ReasonUnknownName),
+		Entry("no actions", func(v *dg.View) { v.Deployment.Services["all"].Actions = false }, dgfanout.Request{Action: true}, dg.ReasonUnknownName),
+		Entry("too late", func(*dg.View) {}, dgfanout.Request{Deadline: 9 * ms}, dg.ReasonDeadline),
+		Entry("no leaf", func(v *dg.View) { v.Deployment.Services["all"].Leaves = nil }, dgfanout.Request{}, dg.ReasonNoReplica),
+	)
+
+	It("R2 and R9 keep one snapshot when a version goes away (guards against mixed versions)", func() {
+		r := newRig(catalog(newView(3, 1), 7, 8))
+		first := sends(r.start(dgfanout.Request{}))
+		Expect(first).To(HaveLen(3))
+		Expect(first[0].Index).To(Equal(dg.IndexVersion(8)))
+		r.answer(r.ok(first[0]))
+		again := r.refuse(first[1], dg.SubNotRun, dg.ReasonVersionGone)
+		Expect(again[0].Kind).To(Equal(dgfanout.Cancel))
+		Expect(again[0].ID).To(Equal(first[2].ID))
+		second := sends(again)
+		Expect(second).To(HaveLen(3))
+		r.answer(r.ok(first[2]))
+		for _, a := range second {
+			Expect(a.Index).To(Equal(dg.IndexVersion(7)))
+			Expect(a.Rule).To(Equal(dgfanout.RuleVersionGone))
+			r.answer(r.ok(a))
+		}
+		res := r.q.Result()
+		Expect(res).To(And(HaveField("Index", dg.IndexVersion(7)), HaveField("Merged", 6), HaveField("Reason", dg.ReasonNone)))
+		Expect(sends(r.start(dgfanout.Request{}))[0].Index).To(Equal(dg.IndexVersion(7)), "later queries avoid version 8")
+	})
+
+	It("R9 reports the better of two tries (guards against losing coverage to the second try)", func() {
+		r := newRig(catalog(newView(3, 1), 7, 8))
+		first := sends(r.start(dgfanout.Request{}))
+		r.answer(r.ok(first[0]))
+		r.answer(r.ok(first[1]))
+		second := sends(r.refuse(first[2], dg.SubNotRun, dg.ReasonVersionGone))
+		r.answer(r.ok(second[0]))
+		r.tickTo(r.now + 300*ms)
+		Expect(r.q.Result()).To(And(HaveField("Index", dg.IndexVersion(8)), HaveField("Merged", 4), HaveField("Total", 6)))
+	})
+
+	It("R9 lowers coverage without another live snapshot (guards against endless tries)", func() {
+		r := newRig(catalog(newView(2, 1), 8))
+		acts := sends(r.start(dgfanout.Request{}))
+		Expect(r.refuse(acts[0], dg.SubNotRun, dg.ReasonVersionGone)).To(BeEmpty())
+		r.answer(r.ok(acts[1]))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeAnswered), HaveField("Merged", 2), HaveField("Reason", dg.ReasonVersionGone)))
+	})
+
+	It("R3 prefers its own zone only while that is not slower (guards against queueing behind a slow replica nearby)", func() {
+		count := func(home, other time.Duration) (n int) {
+			r := newRig(newView(1, 2))
+			for range 200 {
+				for _, a := range sends(r.start(dgfanout.Request{})) {
+					d := other
+					if a.Owner == "ma" {
+						d = home
+						n++
+					}
+					r.now = r.now.Add(d)
+					r.answer(r.ok(a))
+				}
+			}
+			return n
+		}
+		Expect(count(10*time.Millisecond, 10*time.Millisecond)).To(BeNumerically(">", 190))
+		Expect(count(10*time.Millisecond, 12*time.Millisecond)).To(BeNumerically(">", 190))
+		Expect(count(40*time.Millisecond, 10*time.Millisecond)).To(BeNumerically("<", 20))
+	})
+
+	It("R3 counts queued and own outstanding work (guards against feeding a queue)", func() {
+		r := newRig(newView(1, 2)).warm(10 * time.Millisecond)
+		r.answer(dgfanout.Answer{Replica: "l000/0", Status: dg.SubAnswered, Mark: dg.Mark{Limit: 3, Queued: 30}})
+		Expect(sends(r.start(dgfanout.Request{}))[0].Replica).To(Equal(dg.ReplicaID("l000/1")))
+		n := map[dg.ReplicaID]int{}
+		r = newRig(newView(1, 2)).warm(10 * time.Millisecond)
+		for range 20 {
+			n[sends(r.start(dgfanout.Request{}))[0].Replica]++
+		}
+		Expect(n["l000/1"]).To(BeNumerically(">=", 8))
+	})
+
+	It("R4 gives a replica that never answered one request at a time (guards against flooding an unknown server)", func() {
+		r := newRig(newView(1, 2))
+		r.v.ZonesOut = map[dg.ZoneName]bool{"b": true}
+		r.warm(time.Millisecond)
+		next := *r.v
+		next.ZonesOut = nil
+		r.v = &next
+		n := 0
+		for range 30 {
+			if sends(r.start(dgfanout.Request{}))[0].Replica == "l000/1" {
+				n++
+			}
+		}
+		Expect(n).To(Equal(1))
+	})
+
+	It("R4 doubles the back-off and probes a lost replica once (guards against hammering it)", func() {
+		r := newRig(newView(1, 1))
+		r.refuse(r.start(dgfanout.Request{})[0], dg.SubUnknown, dg.ReasonConnection)
+		backOff := 100 * ms
+		for range 8 {
+			r.now += backOff - ms
+			Expect(sends(r.start(dgfanout.Request{}))).To(BeEmpty())
+			Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeNotRun), HaveField("Reason", dg.ReasonNoReplica)))
+			r.now += ms
+			acts := sends(r.start(dgfanout.Request{}))
+			probe := r.q
+			Expect(acts).To(HaveLen(1))
+			Expect(acts[0].Rule).To(Equal(dgfanout.RuleTrial))
+			Expect(sends(r.start(dgfanout.Request{}))).To(BeEmpty())
+			r.q = probe
+			r.refuse(acts[0], dg.SubUnknown, dg.ReasonConnection)
+			backOff = min(2*backOff, 5000*ms)
+		}
+		r.now += backOff
+		r.okAll(r.start(dgfanout.Request{}))
+		Expect(sends(r.start(dgfanout.Request{}))).To(HaveLen(1))
+	})
+
+	DescribeTable("R5 avoids replica 0 (guards against new work where there may be none)",
+		func(change func(*rig), class dg.Class, avoided bool) {
+			r := newRig(newView(1, 2)).warm(time.Millisecond)
+			next := *r.v
+			d := *r.v.Deployment
+			r.v, next.Deployment = &next, &d
+			change(r)
+			n := 0
+			for range 20 {
+				acts := sends(r.start(dgfanout.Request{Class: class}))
+				if acts[0].Replica == "l000/0" {
+					n++
+				}
+				r.answer(r.ok(acts[0]))
+			}
+			Expect(n == 0).To(Equal(avoided))
+		},
+		Entry("usable", func(*rig) {}, dg.ClassOrdinary, false),
+		Entry("leaving", func(r *rig) { r.v.Deployment.Services["l000"].Replicas[0].Leaving = true }, dg.ClassUrgent, true),
+		Entry("zone out", func(r *rig) { r.v.ZonesOut = map[dg.ZoneName]bool{"a": true} }, dg.ClassUrgent, true),
+		Entry("no owner", func(r *rig) { r.v.Placement["l000/0"] = dg.Placement{} }, dg.ClassUrgent, true),
+		Entry("owner gone", func(r *rig) { r.v.Placement["l000/0"] = dg.Placement{Owner: "mz"} }, dg.ClassUrgent, true),
+		Entry("draining", func(r *rig) { r.note(dg.ReasonNone, dg.Mark{Draining: true}) }, dg.ClassUrgent, true),
+		Entry("refused, same class", func(r *rig) { r.note(dg.ReasonOverload, dg.Mark{}) }, dg.ClassArchive, true),
+		Entry("refused, more urgent class", func(r *rig) { r.note(dg.ReasonOverload, dg.Mark{}) }, dg.ClassUrgent, false),
+		Entry("not the owner", func(r *rig) { r.note(dg.ReasonNotOwner, dg.Mark{}) }, dg.ClassUrgent, true),
+	)
+
+	It("R6 hedges a late attempt and cancels the loser (guards against stragglers and double counting)", func() {
+		r := newRig(newView(2, 2)).warm(10 * time.Millisecond)
+		acts := sends(r.start(dgfanout.Request{}))
+		r.answer(r.ok(acts[0]))
+		hedges := r.tickTo(r.now + 20*ms)
+		Expect(hedges).To(HaveLen(1))
+		Expect(hedges[0].Rule).To(Equal(dgfanout.RuleHedge))
+		Expect(hedges[0].Replica).NotTo(Equal(acts[1].Replica))
+		end := r.answer(r.ok(hedges[0]))
+		Expect(end).To(HaveLen(2))
+		Expect(end[0]).To(And(HaveField("Kind", dgfanout.Cancel), HaveField("ID", acts[1].ID), HaveField("Owner", acts[1].Owner)))
+		Expect(end[1]).To(HaveField("Kind", dgfanout.Finish))
+		Expect(r.answer(r.ok(acts[1]))).To(BeEmpty())
+		Expect(r.q.Result()).To(And(HaveField("Merged", 2), HaveField("Total", 2), HaveField("Accepted", HaveLen(2))))
+	})
+
+	It("R6 and R7 send nothing extra to an overloaded leaf (guards against load that grows under overload)", func() {
+		r := newRig(newView(1, 4)).warm(10 * time.Millisecond)
+		for range 20 {
+			for acts := sends(r.start(dgfanout.Request{})); len(acts) > 0; {
+				acts = sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonOverload))
+			}
+			Expect(r.q.Result().Outcome).To(Equal(dg.OutcomeNotRun))
+			r.now += 50 * ms
+		}
+		acts := sends(r.start(dgfanout.Request{}))
+		Expect(r.tickTo(r.now + 200*ms)).To(BeEmpty())
+		Expect(r.refuse(acts[0], dg.SubNotRun, dg.ReasonShed)).To(HaveExactElements(HaveField("Kind", dgfanout.Finish)))
+	})
+
+	It("R7 retries at another replica, at most three attempts (guards against lost shards and endless retries)", func() {
+		r := newRig(newView(1, 5)).warm(10 * time.Millisecond)
+		seen := map[dg.ReplicaID]bool{}
+		acts := sends(r.start(dgfanout.Request{}))
+		for len(acts) > 0 {
+			Expect(seen[acts[0].Replica]).To(BeFalse())
+			seen[acts[0].Replica] = true
+			acts = sends(r.refuse(acts[0], dg.SubUnknown, dg.ReasonConnection))
+		}
+		Expect(seen).To(HaveLen(3))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeUnknown), HaveField("Reason", dg.ReasonCoverage)))
+	})
+
+	It("R8 bounds extra sub-requests when everything fails (guards against a retry storm)", func() {
+		r := newRig(newView(20, 2)).warm(10 * time.Millisecond)
+		primary, extra := 0, 0
+		for range 200 {
+			acts := sends(r.start(dgfanout.Request{}))
+			primary += len(acts)
+			for _, a := range acts {
+				retries := sends(r.refuse(a, dg.SubUnknown, dg.ReasonBroken))
+				extra += len(retries)
+				for _, a := range retries {
+					r.refuse(a, dg.SubUnknown, dg.ReasonBroken)
+				}
+			}
+			extra += len(sends(r.tickTo(r.now + 300*ms)))
+		}
+		Expect(extra).To(BeNumerically(">", 100))
+		Expect(extra).To(BeNumerically("<=", 10+primary/20))
+	})
+
+	It("R8 lets a retry wait for the budget (guards against losing a shard while the budget recovers)", func() {
+		r := newRig(newView(20, 2)).warm(10 * time.Millisecond)
+		acts := sends(r.start(dgfanout.Request{}))
+		for _, a := range acts {
+			r.refuse(a, dg.SubUnknown, dg.ReasonBroken)
+		}
+		waiting := r.q
+		r.okAll(r.start(dgfanout.Request{}))
+		r.q = waiting
+		Expect(sends(r.tickTo(r.now + 10*ms))).NotTo(BeEmpty())
+	})
+
+	DescribeTable("R10 does not merge a bad answer (guards against wrong coverage and crossed answers)",
+		func(change func(*dgfanout.Answer), retried bool) {
+			r := newRig(catalog(newView(2, 2), 5))
+			acts := sends(r.start(dgfanout.Request{}))
+			ans := r.ok(acts[0])
+			change(&ans)
+			Expect(sends(r.answer(ans))).To(HaveLen(map[bool]int{true: 1}[retried]))
+			r.answer(r.ok(acts[1]))
+			r.tickTo(r.now + 300*ms)
+			Expect(r.q.Result()).To(And(HaveField("Merged", 2), HaveField("Total", 4), HaveField("Accepted", HaveLen(1))))
+		},
+		Entry("truncated", func(a *dgfanout.Answer) { a.Body = a.Body[:len(a.Body)-3] }, true),
+		Entry("no part", func(a *dgfanout.Answer) { a.Body = body() }, true),
+		Entry("part of another shard", func(a *dgfanout.Answer) { a.Body = body(0, 1, 2) }, true),
+		Entry("part listed twice", func(a *dgfanout.Answer) { a.Body = body(0, 0) }, true),
+		Entry("another version", func(a *dgfanout.Answer) { a.Index = 4 }, true),
+		Entry("another query", func(a *dgfanout.Answer) { a.ID.Query++ }, false),
+		Entry("another VM", func(a *dgfanout.Answer) { a.ID.Entry++ }, false),
+		Entry("another replica", func(a *dgfanout.Answer) { a.Replica += "x" }, false),
+		Entry("attempt not sent", func(a *dgfanout.Answer) { a.ID.Attempt++ }, false),
+	)
+
+	It("R10 counts a part once and only if listed (guards against overlapping shards and short answers)", func() {
+		r := newRig(newView(2, 1))
+		r.v.Catalog["all"] = []dg.Snapshot{{Version: 3, Parts: 4, Shards: []dg.Shard{
+			{Service: "l000", Parts: []dg.PartID{0, 1, 2}}, {Service: "l001", Parts: []dg.PartID{1, 2, 3, 9}}}}}
+		acts := sends(r.start(dgfanout.Request{}))
+		short := r.ok(acts[0])
+		short.Body = body(2, 0)
+		r.answer(short)
+		r.answer(r.ok(acts[1]))
+		res := r.q.Result()
+		Expect(res).To(And(HaveField("Merged", 4), HaveField("Total", 4)))
+		Expect(res.Accepted[1].Parts).To(Equal([]dg.PartID{1, 3}))
+		Expect(dgfanout.Merge(res.Accepted)).To(HaveExactElements(HaveField("ID", "h3"), HaveField("ID", "h2"), HaveField("ID", "h1"), HaveField("ID", "h0")))
+	})
+
+	DescribeTable("R11 and R13 report what was merged (guards against late and overstated answers)",
+		func(partial bool, least float64, answered int, want dg.Outcome, why dg.Reason) {
+			r := newRig(newView(4, 2))
+			r.v.Deployment.Services["all"].Partial = partial
+			acts := sends(r.start(dgfanout.Request{MinCoverage: least}))
+			r.okAll(acts[:answered])
+			r.tickTo(300 * ms)
+			res := r.q.Result()
+			Expect(res).To(And(HaveField("Outcome", want), HaveField("Reason", why), HaveField("Merged", answered), HaveField("Total", 4)))
+		},
+		Entry("whole", false, 0.0, 4, dg.OutcomeAnswered, dg.ReasonNone),
+		Entry("in part", true, 0.0, 1, dg.OutcomeAnswered, dg.ReasonDeadline),
+		Entry("as much as accepted", true, 0.75, 3, dg.OutcomeAnswered, dg.ReasonDeadline),
+		Entry("less than accepted", true, 0.76, 3, dg.OutcomeUnknown, dg.ReasonDeadline),
+		Entry("may not be partial", false, 0.1, 3, dg.OutcomeUnknown, dg.ReasonDeadline),
+		Entry("nothing", true, 0.0, 0, dg.OutcomeUnknown, dg.ReasonDeadline),
+	)
+
+	It("R13 ends at once when the coverage is out of reach (guards against useless load)", func() {
+		r := newRig(newView(3, 1))
+		acts := sends(r.start(dgfanout.Request{MinCoverage: 0.9}))
+		end := r.answer(dgfanout.Answer{ID: acts[0].ID, Replica: acts[0].Replica, Status: dg.SubNotRun, Reason: dg.ReasonOverload, RetryAfter: time.Second})
+		Expect(end).To(HaveExactElements(HaveField("Kind", dgfanout.Finish), HaveField("Kind", dgfanout.Cancel), HaveField("Kind", dgfanout.Cancel)))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeUnknown), HaveField("Reason", dg.ReasonCoverage)))
+		Expect(r.start(dgfanout.Request{MinCoverage: 0.9})).To(HaveExactElements(HaveField("Rule", dgfanout.RuleCoverage)))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeNotRun), HaveField("Reason", dg.ReasonOverload), HaveField("RetryAfter", time.Second)))
+	})
+
+	It("R14 sends an action again only after a refusal, never as a hedge (guards against duplicate dispatches)", func() {
+		r := newRig(newView(3, 2))
+		req := dgfanout.Request{Action: true, Key: "k"}
+		acts := sends(r.start(req))
+		Expect(acts).To(HaveExactElements(HaveField("Rule", dgfanout.RuleAction)))
+		again := sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonShed))
+		Expect(again).To(HaveLen(1))
+		Expect(strings.Split(string(again[0].Replica), "/")[0]).To(Equal(strings.Split(string(acts[0].Replica), "/")[0]))
+		Expect(r.refuse(again[0], dg.SubUnknown, dg.ReasonConnection)).To(HaveExactElements(HaveField("Kind", dgfanout.Finish)))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeUnknown), HaveField("Reason", dg.ReasonConnection)))
+		r.now += 1000 * ms // the replicas are usable again
+		acts = sends(r.start(dgfanout.Request{Action: true, Key: "other"}))
+		Expect(acts).To(HaveLen(1))
+		Expect(sends(r.tickTo(r.now + 300*ms))).To(BeEmpty())
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeUnknown), HaveField("Reason", dg.ReasonDeadline)))
+	})
+
+	It("R15 cancels every open attempt (guards against slots that work for nobody)", func() {
+		r := newRig(newView(3, 2))
+		r.answer(r.ok(r.start(dgfanout.Request{})[1]))
+		Expect(r.p.HangUp(r.now, r.q, nil)).To(HaveLen(3))
+		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeUnknown), HaveField("Reason", dg.ReasonCancelled)))
+		Expect(r.p.HangUp(r.now, r.q, nil)).To(BeEmpty())
+	})
+
+	It("R16 waits for a fixed timeout without hedge or retry (guards against a baseline that is not simple)", func() {
+		r := newRig(newView(2, 2)).warm(time.Millisecond)
+		acts := sends(r.start(dgfanout.Request{Plain: true, Deadline: r.now + 3000*ms}))
+		Expect(r.refuse(acts[0], dg.SubNotRun, dg.ReasonShed)).To(BeEmpty())
+		Expect(r.tickTo(r.now + 990*ms)).To(BeEmpty())
+		Expect(r.tickTo(r.now + 20*ms)).To(HaveExactElements(HaveField("Kind", dgfanout.Cancel), HaveField("Kind", dgfanout.Finish)))
+	})
+
+	DescribeTable("ParseBody rejects what is not a whole list of parts (guards against truncated answers)",
+		func(text string, valid bool) {
+			_, err := dgfanout.ParseBody([]byte(text))
+			if valid {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(err).To(MatchError(dgfanout.ErrBody))
+			}
+		},
+		Entry("whole", string(body(1, 2)), true),
+		Entry("empty", "", false),
+		Entry("null", "null", false),
+		Entry("no list", `{}`, false),
+		Entry("no number", `{"Parts":[{"Hits":[]}]}`, false),
+		Entry("twice", string(body(1, 2, 1)), false),
+		Entry("two answers", string(body(1))+string(body(2)), false),
+	)
+
+	It("Merge returns the 100 best hits in a fixed order (guards against an unbounded or unstable answer)", func() {
+		var all []dgfanout.Accepted
+		for i := range 30 {
+			b := dgfanout.Body{Parts: []dgfanout.Part{{Part: dg.PartID(i)}}}
+			for k := range 50 {
+				b.Parts[0].Hits = append(b.Parts[0].Hits, dgfanout.Hit{ID: fmt.Sprint(i), Score: float64((k * 7) % 50)})
+			}
+			all = append(all, dgfanout.Accepted{Parts: []dg.PartID{dg.PartID(i)}, Body: b})
+		}
+		top := dgfanout.Merge(all)
+		Expect(top).To(HaveLen(100))
+		Expect(top[0]).To(Equal(dgfanout.Hit{ID: "0", Score: 49}))
+		Expect(top[99].Score).To(Equal(46.0))
+	})
+})
+
+// note sends a late answer of replica 0 of the first leaf to an ordinary query.
+func (r *rig) note(why dg.Reason, m dg.Mark) {
+	status := dg.SubNotRun
+	if why == dg.ReasonNone {
+		status = dg.SubAnswered
+	}
+	r.answer(dgfanout.Answer{Replica: "l000/0", Status: status, Reason: why, Mark: m, RetryAfter: time.Second})
+}
