--- /dev/null
+++ b/dggate/api.go
@@ -0,0 +1,179 @@
+// Package dggate decides which requests the owner VM of one replica sends to it
+// and when: admission, queues, slots, cold start and the end of ownership. It
+// has no goroutine, clock or lock; a driver passes events in and carries out
+// the actions that come back.
+//
+// Rules. Each Action names the rule that it follows.
+//
+//   - G1: Nothing is dispatched without rights. A request that arrives before
+//     the placement row names this VM, or after Revoke, is refused as not run
+//     with ReasonNotOwner. Rights under an epoch that was revoked are ignored.
+//   - G2: While rights are awaited, requests are queued. They are dispatched on
+//     Grant or refused when they can no longer meet their deadline.
+//   - G3: No dispatched request has a deadline after the end of the rights. A
+//     later deadline is shortened; a request that does not fit before the end is
+//     refused with ReasonLease.
+//   - G4: A request is dispatched only while fewer requests are in flight than
+//     the limit. The limit is at most the replica's slots and connections. A
+//     slot is free only after Done, also if its request was cancelled or its
+//     deadline passed.
+//   - G5: A replica that is new, returned or unknown starts at its cold limit.
+//     RampAnswers good answers of requests sent at the present limit and
+//     received without the cold mark raise it by one slot.
+//   - G6: A cold mark, a shed refusal while no more than the limit was in
+//     flight, or SlowAnswers answers in a row that each took SlowFactor times the
+//     normal latency lower the limit to the cold limit at once. Requests in
+//     flight stay in flight.
+//   - G7: After a shed refusal nothing is dispatched before its Retry-After has
+//     passed.
+//   - G8: After LostFailures connection failures in a row the replica is lost:
+//     the queue is refused with ReasonConnection, and one trial request at a
+//     time is sent with a doubling back-off. A response ends the state and the
+//     replica starts cold.
+//   - G9: While the replica is leaving or its availability zone is taken out,
+//     every request that was not sent is refused with that reason. When it
+//     returns it starts cold.
+//   - G10: Urgent requests go first, then ordinary ones, then archive. Inside a
+//     class the earliest deadline goes first.
+//   - G11: While archive requests wait, one dispatch in ArchiveEvery is an
+//     archive request. It goes before ordinary requests after ArchiveEvery - 1
+//     other dispatches, and before urgent ones after 2*ArchiveEvery - 1.
+//   - G12: A request whose predicted start plus the learned service time is past
+//     its deadline is refused with ReasonOverload and a Retry-After, on arrival,
+//     while it waits or when its turn comes. With nothing in flight a request is
+//     tried whatever was learned, so that a wrong estimate corrects itself.
+//   - G13: Queues are bounded. Ordinary and archive requests may use only a part
+//     of the time before their deadline for waiting.
+//   - G14: Cancel refuses a queued request with ReasonCancelled. For a request in
+//     flight it asks the driver, once, to cancel it at the backend server.
+package dggate
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// Never is the instant that Next returns when no time limit is pending.
+const Never = dandeliongap.Instant(math.MaxInt64)
+
+// Rule is the number of the rule that a decision follows.
+type Rule uint8
+
+// Rules of the package comment.
+const (
+	RuleNone Rule = iota
+	RuleRights
+	RuleAwait
+	RuleRightsEnd
+	RuleLimit
+	RuleRamp
+	RuleCold
+	RuleShed
+	RuleLost
+	RuleLeaving
+	RuleOrder
+	RuleArchive
+	RuleDeadline
+	RuleBound
+	RuleCancel
+)
+
+// String returns the name used in log lines, such as "G4"; empty for RuleNone.
+func (r Rule) String() string {
+	if r == RuleNone {
+		return ""
+	}
+	return "G" + strconv.Itoa(int(r))
+}
+
+// ActionKind tells the driver what to do.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	// Dispatch: send the request to the backend server with Action.Deadline.
+	Dispatch ActionKind = iota + 1
+	// Refuse: answer the entry VM that the request did not run.
+	Refuse
+	// CancelSent: cancel the request at the backend server and call Done when
+	// its slot is free.
+	CancelSent
+)
+
+// String returns the name that log lines use.
+func (k ActionKind) String() string {
+	switch k {
+	case Dispatch:
+		return "dispatch"
+	case Refuse:
+		return "refuse"
+	case CancelSent:
+		return "cancel"
+	default:
+		return "invalid"
+	}
+}
+
+// Action is one decision.
+type Action struct {
+	Kind       ActionKind
+	ID         dandeliongap.SubID
+	Reason     dandeliongap.Reason  // of a Refuse
+	RetryAfter time.Duration        // of a Refuse; 0: no advice
+	Deadline   dandeliongap.Instant // of a Dispatch
+	Rule       Rule
+}
+
+// Request is a sub-request that an entry VM submitted.
+type Request struct {
+	ID       dandeliongap.SubID
+	Class    dandeliongap.Class
+	Action   bool // may not be repeated
+	Index    dandeliongap.IndexVersion
+	Deadline dandeliongap.Instant
+}
+
+// Result is the end of a dispatched request.
+type Result struct {
+	Status     dandeliongap.SubStatus
+	Reason     dandeliongap.Reason
+	Cold       bool // Load-State: cold
+	Draining   bool // Draining: true
+	RetryAfter time.Duration
+	Latency    time.Duration // from dispatch to the end
+	Index      dandeliongap.IndexVersion
+}
+
+// Handover is what a former owner tells the next one about a replica.
+type Handover struct {
+	Limit    dandeliongap.Slots
+	Known    bool // false: treat the replica as cold
+	Draining bool
+	Normal   time.Duration // learned latency when warm; 0: not learned
+}
+
+// State is the state of a replica at its owner.
+type State uint8
+
+// States of a replica.
+const (
+	NotHeld State = iota // no rights, or rights awaited
+	Cold                 // at the cold limit
+	Ramping              // between the cold limit and all slots
+	Warm                 // all slots
+	Leaving              // draining, or its availability zone is taken out
+	Lost                 // no connection
+)
+
+var stateNames = [...]string{"not held", "cold", "ramping", "warm", "leaving", "lost"}
+
+// String returns the name that log lines use.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
