--- /dev/null
+++ b/dgsettings/dgtext/document.go
@@ -0,0 +1,221 @@
+// Package dgtext reads an INI text into sections and keys with their lines.
+//
+// The INI library gives no line numbers. A scanner therefore finds the sections
+// and keys with their lines, and the library reads the same text; a text that
+// the two read differently has a fault. Rules of the scanner:
+//
+//  1. A line that is blank or starts with "#" or ";" is skipped.
+//  2. "[KIND]" or "[KIND NAME]" starts a section; only a comment may follow.
+//  3. "key = value" belongs to the section above it. The value ends before " #"
+//     or " ;", which start a comment.
+//  4. What the library would read beyond the line or rewrite is a fault: quotes,
+//     back quotes, variables "%(name)s", the automatic key "-", empty values and
+//     values that start with a comment sign.
+//  5. Without a fault of rules 1 to 4, the library's sections, keys and values
+//     must equal those of the scanner.
+//
+// A message never quotes a value, because a value can be a secret.
+package dgtext
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+
+	"gopkg.in/ini.v1"
+)
+
+// CheckSyntax is the name of the check that reports Document.Problems.
+const CheckSyntax = "syntax"
+
+// Document is a text in sections and keys, in the order of the text.
+type Document struct {
+	Sections []*Section
+	Problems []Fault // lines that are neither a section nor a key
+}
+
+// Section is one section of a text.
+type Section struct {
+	Line int
+	Kind string // first word of the header
+	Name string // the rest of the header, empty if there is none
+	Keys []Key
+	raw  string // header as the library reads it
+}
+
+// Key is one "key = value" line.
+type Key struct {
+	Line  int
+	Name  string // words separated by one space
+	Value string // without comment and surrounding space
+	raw   string // name as the library reads it
+}
+
+// Title returns the section's header with single spaces.
+func (s *Section) Title() string {
+	if s.Name == "" {
+		return "[" + s.Kind + "]"
+	}
+	return "[" + s.Kind + " " + s.Name + "]"
+}
+
+// Key returns the section's first key of that name.
+func (s *Section) Key(name string) (Key, bool) {
+	for _, k := range s.Keys {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+// Of returns the sections of one kind.
+func (d *Document) Of(kind string) []*Section {
+	var found []*Section
+	for _, s := range d.Sections {
+		if s.Kind == kind {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// Read splits a text that is valid UTF-8.
+func Read(text []byte) *Document {
+	d := &Document{}
+	line := 0
+	for raw := range strings.Lines(strings.TrimPrefix(string(text), byteOrderMark)) {
+		line++
+		d.addLine(line, strings.TrimSpace(raw))
+	}
+	if len(d.Problems) == 0 {
+		d.compare(text)
+	}
+	return d
+}
+
+const byteOrderMark = "\ufeff"
+
+func (d *Document) addLine(line int, s string) {
+	switch {
+	case s == "" || isComment(s):
+	case s[0] == '[':
+		d.addSection(line, s)
+	default:
+		d.addKey(line, s)
+	}
+}
+
+func (d *Document) problem(line int, format string, args ...any) {
+	d.Problems = append(d.Problems, Fault{Line: line, Check: CheckSyntax, Message: fmt.Sprintf(format, args...)})
+}
+
+// addSection starts a section also when the header has a fault, so that its keys
+// are not taken for those of the section above.
+func (d *Document) addSection(line int, s string) {
+	section := &Section{Line: line}
+	d.Sections = append(d.Sections, section)
+	end := strings.LastIndexByte(s, ']')
+	if end < 0 {
+		d.problem(line, "the section header has no closing bracket")
+		return
+	}
+	section.raw = s[1:end]
+	section.Kind, section.Name, _ = strings.Cut(words(section.raw), " ")
+	switch rest := strings.TrimSpace(s[end+1:]); {
+	case strings.ContainsAny(section.raw, "[]"):
+		d.problem(line, "a section name must not contain brackets")
+	case section.Kind == "":
+		d.problem(line, "the section header is empty")
+	case rest != "" && !isComment(rest):
+		d.problem(line, "only a comment may follow a section header")
+	}
+}
+
+func (d *Document) addKey(line int, s string) {
+	name, rest, found := strings.Cut(s, "=")
+	key := Key{Line: line, Name: words(name), Value: trimComment(rest), raw: strings.TrimSpace(name)}
+	switch {
+	case !found:
+		d.problem(line, "neither a section, a key with a value nor a comment; write KEY = VALUE")
+	case key.Name == "":
+		d.problem(line, "there is no key before the equals sign")
+	case key.Name == "-" || strings.ContainsAny(key.Name, "\"`"):
+		d.problem(line, "a key is written in words, without quotes")
+	case len(d.Sections) == 0:
+		d.problem(line, "the key %q comes before the first section", key.Name)
+	case key.Value == "":
+		d.problem(line, "the key %q has no value", key.Name)
+	case strings.ContainsAny(key.Value[:1], "\"'`"):
+		d.problem(line, "the value of %q starts with a quote; write values without quotes", key.Name)
+	case isComment(key.Value):
+		d.problem(line, "the value of %q starts with a comment sign", key.Name)
+	case strings.Contains(key.Value, "%("):
+		d.problem(line, "the value of %q contains a variable; variables are not supported", key.Name)
+	default:
+		section := d.Sections[len(d.Sections)-1]
+		section.Keys = append(section.Keys, key)
+	}
+}
+
+func words(s string) string { return strings.Join(strings.Fields(s), " ") }
+
+func isComment(s string) bool { return s[0] == '#' || s[0] == ';' }
+
+// trimComment returns the value that starts a line's right side.
+func trimComment(s string) string {
+	s = strings.TrimFunc(s, unicode.IsSpace)
+	for i := 1; i < len(s); i++ {
+		if s[i-1] == ' ' && isComment(s[i:]) {
+			return strings.TrimSpace(s[:i])
+		}
+	}
+	return s
+}
+
+// compare reports where the library reads the text differently (rule 5). The
+// library keeps the last value of a key that occurs twice.
+func (d *Document) compare(text []byte) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:       true,
+		SpaceBeforeInlineComment: true,
+		KeyValueDelimiters:       "=",
+		ChildSectionDelimiter:    "\n",
+	}, text)
+	if err != nil {
+		d.problem(1, "the INI library does not accept the text")
+		return
+	}
+	scanned := d.lastValues()
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			id := [2]string{section.Name(), key.Name()}
+			if _, ok := scanned[id]; !ok {
+				d.problem(1, "the INI library finds a key %q that the scanner does not find", key.Name())
+				continue
+			}
+			if scanned[id].Value != key.Value() {
+				d.problem(scanned[id].Line, "the INI library reads another value of %q", key.Name())
+			}
+			delete(scanned, id)
+		}
+	}
+	for _, key := range scanned {
+		d.problem(key.Line, "the INI library does not find the key %q", key.Name)
+	}
+	for _, section := range d.Sections {
+		if !file.HasSection(section.raw) {
+			d.problem(section.Line, "the INI library does not find the section %s", section.Title())
+		}
+	}
+}
+
+func (d *Document) lastValues() map[[2]string]Key {
+	last := map[[2]string]Key{}
+	for _, section := range d.Sections {
+		for _, key := range section.Keys {
+			last[[2]string{section.raw, key.raw}] = key
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/dgsettings/dgtext/fault.go
@@ -0,0 +1,58 @@
+package dgtext
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/gravitational/trace"
+)
+
+// Fault is one reason why a text is not accepted.
+type Fault struct {
+	Line    int    // from 1, inside the text
+	Check   string // name of the check that found it
+	Message string
+}
+
+// Faults lists what is wrong with one text. The zero value means that nothing is.
+type Faults struct {
+	File string // name of the text, as the reader of a fault knows it
+	List []Fault
+}
+
+// NewFaults returns the faults of a file, sorted by line, check and message,
+// each once.
+func NewFaults(file string, list []Fault) Faults {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b Fault) int {
+		return cmp.Or(
+			cmp.Compare(a.Line, b.Line),
+			cmp.Compare(a.Check, b.Check),
+			cmp.Compare(a.Message, b.Message))
+	})
+	return Faults{File: file, List: slices.Compact(sorted)}
+}
+
+// Any reports whether there is a fault.
+func (f Faults) Any() bool { return len(f.List) > 0 }
+
+// String returns one line "FILE:LINE: message" per fault, sorted by line.
+func (f Faults) String() string {
+	var b strings.Builder
+	for _, fault := range f.List {
+		fmt.Fprintf(&b, "%s:%d: %s\n", f.File, fault.Line, fault.Message)
+	}
+	return b.String()
+}
+
+// Err returns nil if there is no fault, else an error that wraps
+// dandeliongap.ErrInvalid and whose text lists all faults.
+func (f Faults) Err() error {
+	if !f.Any() {
+		return nil
+	}
+	return trace.Wrap(dandeliongap.ErrInvalid, strings.TrimSuffix(f.String(), "\n"))
+}
