Read deployment texts and daemon settings

The tables of keys in dgschema give each key its form, limits, default and documentation; each check is a package of its own and reports all faults that it finds.

--- /dev/null
+++ b/dgsettings/dgaddress/dgaddress.go
@@ -0,0 +1,47 @@
+// Package dgaddress checks that no two replicas have one address.
+package dgaddress
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "address",
+	Title: "Each replica has its own address",
+	Text: "Each replica has one owner, which keeps its limits. Two replicas with one address would have two owners, and " +
+		"together they would send the backend server twice the load that it allows.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	type place struct {
+		title, replica string
+		line           int
+	}
+	first := map[string]place{}
+	var report dgtext.Report
+	for _, service := range dgschema.Services(in.Document) {
+		for _, key := range service.Replicas() {
+			value, ok := dgschema.ReplicaOf(key)
+			if !ok {
+				continue // the check "value" or "limits" reports it
+			}
+			if other, taken := first[value.Address]; taken {
+				report.Add(key.Line, "%s of %s has the address %s of %s of %s on line %d",
+					key.Name, service.Section.Title(), value.Address, other.replica, other.title, other.line)
+				continue
+			}
+			first[value.Address] = place{service.Section.Title(), key.Name, key.Line}
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/dgsettings/dgannounce/dgannounce.go
@@ -0,0 +1,54 @@
+// Package dgannounce checks that a daemon announces addresses that others can reach.
+package dgannounce
+
+import (
+	_ "embed" // for the example
+	"net/netip"
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "announce",
+	Title: "A daemon announces addresses that others can connect to, and listens on two different ones",
+	Text: "A daemon that listens on all addresses of its VM (0.0.0.0 or [::]) has to say which one callers and other " +
+		"VMs connect to. Callers and other VMs use separate listeners.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	for _, section := range in.Document.Of(dgschema.SectionDaemon) {
+		announced(&report, section, dgschema.KeyCallerListen, dgschema.KeyCallerAnnounce)
+		announced(&report, section, dgschema.KeyPeerListen, dgschema.KeyPeerAnnounce)
+		different(&report, section, dgschema.KeyCallerListen, dgschema.KeyPeerListen)
+		different(&report, section, dgschema.KeyCallerAnnounce, dgschema.KeyPeerAnnounce)
+	}
+	return report
+}
+
+func announced(report *dgtext.Report, section *dgtext.Section, listen, announce string) {
+	key, ok := section.Key(listen)
+	address, err := netip.ParseAddrPort(key.Value)
+	if !ok || err != nil || !address.Addr().IsUnspecified() {
+		return
+	}
+	if _, ok := section.Key(announce); !ok {
+		report.Add(key.Line, "%q means all addresses; give the one that others connect to as %q", listen, announce)
+	}
+}
+
+func different(report *dgtext.Report, section *dgtext.Section, a, b string) {
+	first, ok := section.Key(a)
+	second, found := section.Key(b)
+	if ok && found && first.Value == second.Value {
+		report.Add(max(first.Line, second.Line), "%q and %q are the same address", a, b)
+	}
+}
--- /dev/null
+++ b/dgsettings/dgcold/dgcold.go
@@ -0,0 +1,36 @@
+// Package dgcold checks that a cold limit is not above the slots.
+package dgcold
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "cold",
+	Title: "A cold limit is not above the slots",
+	Text: "A backend server in cold start can handle less load than a warm one. " +
+		"A cold limit above the slots would have no effect and hides which of the two is wrong.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	for _, service := range dgschema.Services(in.Document) {
+		cold, coldKey, ok := service.Value(dgschema.KeyColdLimit)
+		slots, slotsKey, found := service.Value(dgschema.KeySlots)
+		if ok && found && !service.IsGroup() && cold.Number > slots.Number {
+			report.Add(max(coldKey.Line, slotsKey.Line), "the cold limit %d (line %d) is above the slots %d (line %d)",
+				cold.Number, coldKey.Line, slots.Number, slotsKey.Line)
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/dgsettings/dgconnections/dgconnections.go
@@ -0,0 +1,36 @@
+// Package dgconnections checks that a replica has a connection for each slot.
+package dgconnections
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "connections",
+	Title: "A replica has at least as many connections as slots",
+	Text: "Each request under way uses a connection of its own, so that slots without a connection stay empty. " +
+		"Raise the connections or lower the slots.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	for _, service := range dgschema.Services(in.Document) {
+		connections, connectionsKey, ok := service.Value(dgschema.KeyConnections)
+		slots, slotsKey, found := service.Value(dgschema.KeySlots)
+		if ok && found && !service.IsGroup() && connections.Number < slots.Number {
+			report.Add(max(connectionsKey.Line, slotsKey.Line), "the connections %d (line %d) are fewer than the slots %d (line %d)",
+				connections.Number, connectionsKey.Line, slots.Number, slotsKey.Line)
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/dgsettings/dgduplicate/dgduplicate.go
@@ -0,0 +1,58 @@
+// Package dgduplicate checks that nothing is given twice.
+package dgduplicate
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "duplicate",
+	Title: "Each section, service, key and list item is given once",
+	Text: "Of two sections or keys with one name, one would silently win. " +
+		"Delete one of them, or give it its own name. A missing section header also shows up here, " +
+		"because the keys below it then belong to the section above.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	sections := map[string]int{}
+	for _, section := range in.Document.Sections {
+		title := section.Title()
+		if first, ok := sections[title]; ok && section.Kind != "" {
+			report.Add(section.Line, "%s is given twice, first on line %d", title, first)
+		} else {
+			sections[title] = section.Line
+		}
+		keys := map[string]int{}
+		for _, key := range section.Keys {
+			if first, ok := keys[key.Name]; ok {
+				report.Add(key.Line, "%q is given twice in %s, first on line %d", key.Name, title, first)
+			} else {
+				keys[key.Name] = key.Line
+			}
+		}
+	}
+	in.EachKey(func(_ *dgtext.Section, key dgtext.Key, rule *dgschema.KeyRule) {
+		if rule.Kind != dgschema.KindNames && rule.Kind != dgschema.KindAddresses {
+			return
+		}
+		seen := map[string]bool{}
+		for _, item := range dgschema.Items(key.Value) {
+			if seen[item] && item != "" {
+				report.Add(key.Line, "%q lists %q twice", key.Name, item)
+			}
+			seen[item] = true
+		}
+	})
+	return report
+}
--- /dev/null
+++ b/dgsettings/dgencoding/dgencoding.go
@@ -0,0 +1,58 @@
+// Package dgencoding checks that a text is UTF-8 without control characters.
+package dgencoding
+
+import (
+	"bytes"
+	_ "embed" // for the example
+	"fmt"
+	"unicode"
+	"unicode/utf8"
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "encoding",
+	Title: "The text is UTF-8 without control characters",
+	Text: "A file that an editor saved in another encoding, or that is not text at all, can read as other names " +
+		"than its author saw. Control characters other than tab and line end, and byte order marks other than one at " +
+		"the start, are not visible and therefore not accepted. Save the file as UTF-8.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+// run reports the first fault of each line.
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	text := bytes.TrimPrefix(in.Text, []byte("\ufeff"))
+	line := 0
+	for raw := range bytes.Lines(text) {
+		line++
+		if message := inspect(raw); message != "" {
+			report.Add(line, "%s", message)
+		}
+	}
+	return report
+}
+
+// inspect accepts a carriage return only before the line end.
+func inspect(line []byte) string {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	for i := 0; i < len(line); {
+		r, size := utf8.DecodeRune(line[i:])
+		switch {
+		case r == utf8.RuneError && size == 1:
+			return fmt.Sprintf("byte 0x%02x at position %d is not UTF-8", line[i], i+1)
+		case r != '\t' && unicode.IsControl(r) || r == '\ufeff':
+			return fmt.Sprintf("character %U at position %d is not accepted", r, i+1)
+		}
+		i += size
+	}
+	return ""
+}
--- /dev/null
+++ b/dgsettings/dglimits/dglimits.go
@@ -0,0 +1,43 @@
+// Package dglimits checks that numbers are within their limits.
+package dglimits
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  dgschema.CheckLimits,
+	Title: "Numbers are within their limits",
+	Text: "Zero slots or a negative time would stop a service, and a number that is far too large is most often a " +
+		"typing error. The message names the limits. A deployment has at most 2,000 services and 10,000 replicas, " +
+		"because the placement table has one row per replica and at most one megabyte.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	report := in.Problems(dgschema.CheckLimits)
+	const tooMany = "the text has more than %d %s; this is the first one over the limit"
+	services, replicas := 0, 0
+	for _, service := range dgschema.Services(in.Document) {
+		services++
+		if services == dgschema.MaxServices+1 {
+			report.Add(service.Section.Line, tooMany, dgschema.MaxServices, "services")
+		}
+		for _, key := range service.Replicas() {
+			replicas++
+			if replicas == dgschema.MaxReplicas+1 {
+				report.Add(key.Line, tooMany, dgschema.MaxReplicas, "replicas")
+			}
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/dgsettings/dgmissing/dgmissing.go
@@ -0,0 +1,76 @@
+// Package dgmissing checks that every required section and key is given.
+package dgmissing
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "missing",
+	Title: "Every required section and key is given",
+	Text: "A required key has no value that suits every deployment. A service may take it from the [defaults NAME] " +
+		"section that its key \"like\" names. A group service needs no key that describes replicas.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	services := map[*dgtext.Section]dgschema.Service{}
+	for _, service := range dgschema.Services(in.Document) {
+		services[service.Section] = service
+	}
+	for _, rule := range in.Schema.Sections {
+		sections := in.Document.Of(rule.Kind)
+		if rule.Required && len(sections) == 0 {
+			report.Add(1, "there is no section [%s%s]", rule.Kind, nameHint(rule))
+		}
+		for _, section := range sections {
+			service, ok := services[section]
+			if !ok {
+				service = dgschema.Service{Section: section}
+			}
+			for _, key := range missingKeys(service, rule) {
+				report.Add(section.Line, "%s has no key %q: %s", section.Title(), key.Name, key.Text)
+			}
+		}
+	}
+	return report
+}
+
+func nameHint(rule dgschema.SectionRule) string {
+	if rule.Named {
+		return " NAME"
+	}
+	return ""
+}
+
+// missingKeys returns nothing for a defaults section, whose keys are needed only
+// where a service takes them, and nothing for a service whose defaults section
+// does not exist, which the check "dangling" reports.
+func missingKeys(service dgschema.Service, rule dgschema.SectionRule) []dgschema.KeyRule {
+	if rule.Kind == dgschema.SectionDefaults {
+		return nil
+	}
+	if _, like := service.Section.Key(dgschema.KeyLike); like && service.Defaults == nil {
+		return nil
+	}
+	var missing []dgschema.KeyRule
+	for _, key := range rule.Keys {
+		if !key.Required || service.IsGroup() && dgschema.LeafOnly(key.Name) {
+			continue
+		}
+		if _, ok := service.Key(key.Name); !ok {
+			missing = append(missing, key)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/dgsettings/dgnoleaf/dgnoleaf.go
@@ -0,0 +1,64 @@
+// Package dgnoleaf checks that every group reaches a leaf service.
+package dgnoleaf
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "noleaf",
+	Title: "Every group service reaches a leaf service",
+	Text: "A search of a group that reaches no replicas could only be answered with nothing. " +
+		"Add a service with replicas to \"depends\", here or in a group below.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	services := dgschema.Services(in.Document)
+	reaching := reach(services)
+	var report dgtext.Report
+	for _, service := range services {
+		if !service.IsGroup() || reaching[service.Section.Name] {
+			continue
+		}
+		key, _ := service.Section.Key(dgschema.KeyDepends)
+		report.Add(key.Line, "the group %s reaches no service with replicas", service.Section.Title())
+	}
+	return report
+}
+
+// reach walks from the services with replicas to their dependents, so that a
+// cycle does not matter.
+func reach(services []dgschema.Service) map[string]bool {
+	dependents := map[string][]string{}
+	var queue []string
+	for _, service := range services {
+		name := service.Section.Name
+		if len(service.Replicas()) > 0 {
+			queue = append(queue, name)
+		}
+		for _, dependency := range service.Depends() {
+			dependents[dependency] = append(dependents[dependency], name)
+		}
+	}
+	reaching := map[string]bool{}
+	for len(queue) > 0 {
+		name := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		if reaching[name] {
+			continue
+		}
+		reaching[name] = true
+		queue = append(queue, dependents[name]...)
+	}
+	return reaching
+}
--- a/dgsettings/dgschema/check.go
+++ b/dgsettings/dgschema/check.go
@@ -9,7 +9,8 @@
 	Text    string // what is wrong, why it matters, what to do
 	Since   string // first release that has the check
 	Example string // a text with the fault
-	// Run returns all faults of this kind.
+	// Run returns all faults of this kind. Whoever calls it adds the name of the
+	// check to them.
 	Run func(in *Input) []dgtext.Fault
 }
 
@@ -19,3 +20,14 @@
 	Document *dgtext.Document // nil for the checks of bytes
 	Schema   *Schema
 }
+
+// Problems returns the faults of single values that belong to one check.
+func (in *Input) Problems(check string) dgtext.Report {
+	var report dgtext.Report
+	in.EachKey(func(section *dgtext.Section, key dgtext.Key, rule *KeyRule) {
+		if _, problem := rule.Parse(key.Value); problem != nil && problem.Check == check {
+			report.Add(key.Line, "%s in %s: %s", key.Name, section.Title(), problem.Message)
+		}
+	})
+	return report
+}
--- a/dgsettings/dgschema/schema.go
+++ b/dgsettings/dgschema/schema.go
@@ -2,16 +2,109 @@
 // and reads single values.
 package dgschema
 
+import (
+	"regexp"
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+// Kind is the form of a value.
+type Kind uint8
+
+// Forms of values.
+const (
+	KindName      Kind = iota // lower-case letters, digits and "-"
+	KindNames                 // names separated by commas
+	KindCount                 // a whole number
+	KindTime                  // a whole number with us, ms, s or m
+	KindSize                  // a whole number with B, KiB or MiB
+	KindShare                 // a number with %
+	KindYesNo                 // yes or no
+	KindClass                 // urgent, ordinary or archive
+	KindLevel                 // debug, info, warn or error
+	KindAddress               // IP:port
+	KindListen                // IP:port, where the IP may mean all addresses
+	KindAddresses             // IP:port separated by commas
+	KindHost                  // host:port, where the host is an IP or a name
+	KindToken                 // printable ASCII without spaces
+	KindReplica               // IP:port in ZONE, or IP:port in ZONE leaving
+)
+
+// KeyRule describes one key. Min and Max are in the base unit of the kind:
+// microseconds, bytes, thousandths of a percent, characters of a token.
+type KeyRule struct {
+	Name     string
+	Kind     Kind
+	Min, Max int64
+	Required bool   // for a service: here or in the section that "like" names
+	Default  string // of a key that is not required
+	Text     string
+}
+
+// SectionRule describes one kind of section.
+type SectionRule struct {
+	Kind     string
+	Named    bool // [KIND NAME] instead of [KIND]
+	Required bool
+	Keys     []KeyRule
+	Text     string
+}
+
 // Schema lists the sections of one kind of text.
 type Schema struct {
 	Sections []SectionRule
 }
 
-// Deployment is the schema of deployment texts.
-var Deployment = &Schema{}
+// ReplicaKey is the name of the rule for the keys "replica 1", "replica 2" and
+// so on.
+const ReplicaKey = "replica N"
 
-// Daemon is the schema of daemon settings.
-var Daemon = &Schema{}
+// The ordinal has no leading zero, so that one replica has one spelling.
+var replicaKey = regexp.MustCompile(`^replica ([1-9][0-9]{0,5})$`)
 
-// SectionRule describes one kind of section.
-type SectionRule struct{ Kind string }
+// Ordinal returns the ordinal of a key "replica N" as the text gives it.
+func Ordinal(key string) (string, bool) {
+	m := replicaKey.FindStringSubmatch(key)
+	if m == nil {
+		return "", false
+	}
+	return m[1], true
+}
+
+// Section returns the rule for a section, or nil.
+func (s *Schema) Section(kind string) *SectionRule {
+	for i := range s.Sections {
+		if s.Sections[i].Kind == kind {
+			return &s.Sections[i]
+		}
+	}
+	return nil
+}
+
+// Key returns the rule for a key, or nil.
+func (r *SectionRule) Key(name string) *KeyRule {
+	if _, ok := Ordinal(name); ok {
+		name = ReplicaKey
+	}
+	for i := range r.Keys {
+		if r.Keys[i].Name == name {
+			return &r.Keys[i]
+		}
+	}
+	return nil
+}
+
+// EachKey calls f for every key of a document that the schema knows.
+func (in *Input) EachKey(f func(s *dgtext.Section, k dgtext.Key, rule *KeyRule)) {
+	for _, section := range in.Document.Sections {
+		rule := in.Schema.Section(section.Kind)
+		if rule == nil {
+			continue
+		}
+		for _, key := range section.Keys {
+			if keyRule := rule.Key(key.Name); keyRule != nil {
+				f(section, key, keyRule)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dgsettings/dgschema/service.go
@@ -0,0 +1,91 @@
+package dgschema
+
+import "dandeliongap.example/dandeliongap/dgsettings/dgtext"
+
+// Service is one service section together with the defaults section that it
+// names.
+type Service struct {
+	Section  *dgtext.Section
+	Defaults *dgtext.Section // nil if it names none
+}
+
+// Services returns the services of a deployment text, in the order of the text.
+func Services(doc *dgtext.Document) []Service {
+	defaults := map[string]*dgtext.Section{}
+	for _, section := range doc.Of(SectionDefaults) {
+		if defaults[section.Name] == nil {
+			defaults[section.Name] = section
+		}
+	}
+	var services []Service
+	for _, section := range doc.Of(SectionService) {
+		like, _ := section.Key(KeyLike)
+		services = append(services, Service{Section: section, Defaults: defaults[like.Value]})
+	}
+	return services
+}
+
+// Key returns the key of the section, else that of its defaults.
+func (s Service) Key(name string) (dgtext.Key, bool) {
+	if key, ok := s.Section.Key(name); ok || s.Defaults == nil {
+		return key, ok
+	}
+	return s.Defaults.Key(name)
+}
+
+// Value returns the value of a key; false if the key is missing or its value
+// does not follow its rule.
+func (s Service) Value(name string) (Value, dgtext.Key, bool) {
+	key, ok := s.Key(name)
+	if !ok {
+		return Value{}, key, false
+	}
+	value, problem := Deployment.Section(SectionService).Key(name).Parse(key.Value)
+	return value, key, problem == nil
+}
+
+// Replicas returns the keys "replica N".
+func (s Service) Replicas() []dgtext.Key {
+	var keys []dgtext.Key
+	for _, key := range s.Section.Keys {
+		if _, ok := Ordinal(key.Name); ok {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Depends returns the names after "depends".
+func (s Service) Depends() []string {
+	key, ok := s.Section.Key(KeyDepends)
+	if !ok {
+		return nil
+	}
+	return Items(key.Value)
+}
+
+// IsGroup reports whether the section has the key "depends".
+func (s Service) IsGroup() bool {
+	_, ok := s.Section.Key(KeyDepends)
+	return ok
+}
+
+// Zones returns the zones that the deployment lists.
+func Zones(doc *dgtext.Document) map[string]bool {
+	zones := map[string]bool{}
+	for _, section := range doc.Of(SectionDeployment) {
+		if key, ok := section.Key(KeyZones); ok {
+			for _, zone := range Items(key.Value) {
+				zones[zone] = true
+			}
+		}
+	}
+	return zones
+}
+
+// ReplicaOf returns the value of a key "replica N"; false if it does not follow
+// its rule.
+func ReplicaOf(key dgtext.Key) (ReplicaValue, bool) {
+	value, problem := Deployment.Section(SectionService).Key(ReplicaKey).Parse(key.Value)
+	return value.Replica, problem == nil
+}
--- a/dgsettings/dgtext/document.go
+++ b/dgsettings/dgtext/document.go
@@ -18,20 +18,16 @@
 package dgtext
 
 import (
-	"fmt"
 	"strings"
 	"unicode"
 
 	"gopkg.in/ini.v1"
 )
 
-// CheckSyntax is the name of the check that reports Document.Problems.
-const CheckSyntax = "syntax"
-
 // Document is a text in sections and keys, in the order of the text.
 type Document struct {
 	Sections []*Section
-	Problems []Fault // lines that are neither a section nor a key
+	Problems Report // lines that are neither a section nor a key
 }
 
 // Section is one section of a text.
@@ -106,10 +102,6 @@
 	}
 }
 
-func (d *Document) problem(line int, format string, args ...any) {
-	d.Problems = append(d.Problems, Fault{Line: line, Check: CheckSyntax, Message: fmt.Sprintf(format, args...)})
-}
-
 // addSection starts a section also when the header has a fault, so that its keys
 // are not taken for those of the section above.
 func (d *Document) addSection(line int, s string) {
@@ -117,18 +109,18 @@
 	d.Sections = append(d.Sections, section)
 	end := strings.LastIndexByte(s, ']')
 	if end < 0 {
-		d.problem(line, "the section header has no closing bracket")
+		d.Problems.Add(line, "the section header has no closing bracket")
 		return
 	}
 	section.raw = s[1:end]
 	section.Kind, section.Name, _ = strings.Cut(words(section.raw), " ")
 	switch rest := strings.TrimSpace(s[end+1:]); {
 	case strings.ContainsAny(section.raw, "[]"):
-		d.problem(line, "a section name must not contain brackets")
+		d.Problems.Add(line, "a section name must not contain brackets")
 	case section.Kind == "":
-		d.problem(line, "the section header is empty")
+		d.Problems.Add(line, "the section header is empty")
 	case rest != "" && !isComment(rest):
-		d.problem(line, "only a comment may follow a section header")
+		d.Problems.Add(line, "only a comment may follow a section header")
 	}
 }
 
@@ -137,21 +129,21 @@
 	key := Key{Line: line, Name: words(name), Value: trimComment(rest), raw: strings.TrimSpace(name)}
 	switch {
 	case !found:
-		d.problem(line, "neither a section, a key with a value nor a comment; write KEY = VALUE")
+		d.Problems.Add(line, "neither a section, a key with a value nor a comment; write KEY = VALUE")
 	case key.Name == "":
-		d.problem(line, "there is no key before the equals sign")
+		d.Problems.Add(line, "there is no key before the equals sign")
 	case key.Name == "-" || strings.ContainsAny(key.Name, "\"`"):
-		d.problem(line, "a key is written in words, without quotes")
+		d.Problems.Add(line, "a key is written in words, without quotes")
 	case len(d.Sections) == 0:
-		d.problem(line, "the key %q comes before the first section", key.Name)
+		d.Problems.Add(line, "the key %q comes before the first section", key.Name)
 	case key.Value == "":
-		d.problem(line, "the key %q has no value", key.Name)
+		d.Problems.Add(line, "the key %q has no value", key.Name)
 	case strings.ContainsAny(key.Value[:1], "\"'`"):
-		d.problem(line, "the value of %q starts with a quote; write values without quotes", key.Name)
+		d.Problems.Add(line, "the value of %q starts with a quote; write values without quotes", key.Name)
 	case isComment(key.Value):
-		d.problem(line, "the value of %q starts with a comment sign", key.Name)
+		d.Problems.Add(line, "the value of %q starts with a comment sign", key.Name)
 	case strings.Contains(key.Value, "%("):
-		d.problem(line, "the value of %q contains a variable; variables are not supported", key.Name)
+		d.Problems.Add(line, "the value of %q contains a variable; variables are not supported", key.Name)
 	default:
 		section := d.Sections[len(d.Sections)-1]
 		section.Keys = append(section.Keys, key)
@@ -183,7 +175,7 @@
 		ChildSectionDelimiter:    "\n",
 	}, text)
 	if err != nil {
-		d.problem(1, "the INI library does not accept the text")
+		d.Problems.Add(1, "the INI library does not accept the text")
 		return
 	}
 	scanned := d.lastValues()
@@ -191,21 +183,21 @@
 		for _, key := range section.Keys() {
 			id := [2]string{section.Name(), key.Name()}
 			if _, ok := scanned[id]; !ok {
-				d.problem(1, "the INI library finds a key %q that the scanner does not find", key.Name())
+				d.Problems.Add(1, "the INI library finds a key %q that the scanner does not find", key.Name())
 				continue
 			}
 			if scanned[id].Value != key.Value() {
-				d.problem(scanned[id].Line, "the INI library reads another value of %q", key.Name())
+				d.Problems.Add(scanned[id].Line, "the INI library reads another value of %q", key.Name())
 			}
 			delete(scanned, id)
 		}
 	}
 	for _, key := range scanned {
-		d.problem(key.Line, "the INI library does not find the key %q", key.Name)
+		d.Problems.Add(key.Line, "the INI library does not find the key %q", key.Name)
 	}
 	for _, section := range d.Sections {
 		if !file.HasSection(section.raw) {
-			d.problem(section.Line, "the INI library does not find the section %s", section.Title())
+			d.Problems.Add(section.Line, "the INI library does not find the section %s", section.Title())
 		}
 	}
 }
--- a/dgsettings/dgtext/fault.go
+++ b/dgsettings/dgtext/fault.go
@@ -56,3 +56,12 @@
 	}
 	return trace.Wrap(dandeliongap.ErrInvalid, strings.TrimSuffix(f.String(), "\n"))
 }
+
+// Report collects the faults that one check finds. Its user adds the name of the
+// check.
+type Report []Fault
+
+// Add appends a fault.
+func (r *Report) Add(line int, format string, args ...any) {
+	*r = append(*r, Fault{Line: line, Message: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/dgsettings/dgunknown/dgunknown.go
@@ -0,0 +1,69 @@
+// Package dgunknown checks that the project knows every section and key.
+package dgunknown
+
+import (
+	_ "embed" // for the example
+	"strings"
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "unknown",
+	Title: "Every section and key is a known one",
+	Text: "A misspelled key would leave its value without effect. The message lists the known names. " +
+		"Names are in lower case, and the number of a replica has no leading zero.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+func run(in *dgschema.Input) []dgtext.Fault {
+	var report dgtext.Report
+	for _, section := range in.Document.Sections {
+		if section.Kind == "" {
+			continue // the syntax check reports the header
+		}
+		rule := in.Schema.Section(section.Kind)
+		switch {
+		case rule == nil:
+			report.Add(section.Line, "unknown section %s; known sections: %s", section.Title(), sections(in.Schema))
+			continue
+		case rule.Named && section.Name == "":
+			report.Add(section.Line, "the section has no name; write [%s NAME]", section.Kind)
+		case !rule.Named && section.Name != "":
+			report.Add(section.Line, "unknown section %s; write [%s]", section.Title(), section.Kind)
+		}
+		for _, key := range section.Keys {
+			if rule.Key(key.Name) == nil {
+				report.Add(key.Line, "unknown key %q in %s; known keys: %s", key.Name, section.Title(), keys(rule))
+			}
+		}
+	}
+	return report
+}
+
+func sections(schema *dgschema.Schema) string {
+	var titles []string
+	for _, rule := range schema.Sections {
+		section := dgtext.Section{Kind: rule.Kind}
+		if rule.Named {
+			section.Name = "NAME"
+		}
+		titles = append(titles, section.Title())
+	}
+	return strings.Join(titles, ", ")
+}
+
+func keys(rule *dgschema.SectionRule) string {
+	var names []string
+	for _, key := range rule.Keys {
+		names = append(names, key.Name)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/dgsettings/dgzone/dgzone.go
@@ -0,0 +1,39 @@
+// Package dgzone checks that every replica is in a listed availability zone.
+package dgzone
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "zone",
+	Title: "Every replica is in an availability zone that the deployment lists",
+	Text: "When operators take out a zone, its replicas are found by the name of the zone. A replica with a misspelled " +
+		"zone would go on receiving work. Correct the name, or add it to \"zones\" in [deployment].",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+// run reports nothing for a replica whose value has another fault.
+func run(in *dgschema.Input) []dgtext.Fault {
+	zones := dgschema.Zones(in.Document)
+	var report dgtext.Report
+	for _, service := range dgschema.Services(in.Document) {
+		for _, key := range service.Replicas() {
+			value, ok := dgschema.ReplicaOf(key)
+			if ok && !zones[value.Zone] {
+				report.Add(key.Line, "%s of %s is in zone %q, which the deployment does not list",
+					key.Name, service.Section.Title(), value.Zone)
+			}
+		}
+	}
+	return report
+}
