--- /dev/null
+++ b/dgsettings/examples_test.go
@@ -0,0 +1,102 @@
+package dgsettings_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgsettings"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgsettings")
+}
+
+func example(name string) []byte {
+	text, err := os.ReadFile("../examples/" + name)
+	Expect(err).NotTo(HaveOccurred())
+	return text
+}
+
+func deployment(name string) *dandeliongap.Deployment {
+	d, faults := dgsettings.ParseDeployment(name, example(name))
+	Expect(faults.String()).To(BeEmpty())
+	return d
+}
+
+var _ = Describe("the examples", func() {
+	// Guards against examples that no longer parse or have another size than the
+	// design page gives.
+	DescribeTable("have the sizes of the design page",
+		func(file string, zones, replicas int, sizes map[dandeliongap.ServiceName]int, cold map[dandeliongap.Slots]dandeliongap.Slots) {
+			d := deployment(file)
+			Expect(d.Zones).To(HaveLen(zones))
+			Expect(d.HedgeExtra).To(Equal(0.05))
+			total := 0
+			addresses := map[string]bool{}
+			for _, s := range d.Services {
+				seen := map[dandeliongap.ZoneName]bool{}
+				for _, r := range s.Replicas {
+					total++
+					addresses[r.Address] = true
+					seen[r.Zone] = true
+					Expect(r.ColdLimit).To(Equal(cold[r.Slots]), string(r.ID))
+				}
+				Expect(seen).To(HaveLen(min(len(s.Replicas), zones)), "zones of "+string(s.Name))
+			}
+			Expect(total).To(Equal(replicas))
+			Expect(addresses).To(HaveLen(replicas))
+			for name, size := range sizes {
+				s := d.Services[name]
+				Expect(s).NotTo(BeNil(), string(name))
+				if s.Kind == dandeliongap.KindGroup {
+					Expect(s.Leaves).To(HaveLen(size))
+				} else {
+					Expect(s.Replicas).To(HaveLen(size))
+				}
+			}
+		},
+		Entry("Kelani", "kelani.ini", 3, 114, map[dandeliongap.ServiceName]int{
+			"order-search": 20, "quarry-dispatch": 30, "invoicing": 10, "lorry-tracking": 4,
+		}, map[dandeliongap.Slots]dandeliongap.Slots{3: 1, 6: 2}),
+		Entry("Stejar", "stejar.ini", 4, 123, map[dandeliongap.ServiceName]int{
+			"toolroom-search": 20, "quote-boards": 30, "archive": 15, "shop-portal": 8,
+		}, map[dandeliongap.Slots]dandeliongap.Slots{3: 1}),
+	)
+
+	// Guards against a value that lands in the wrong field or unit, and against a
+	// key of a service that does not override its defaults.
+	It("give the values of the text", func() {
+		kelani := deployment("kelani.ini")
+		Expect(kelani.Replica("order-shard-01/2")).To(HaveValue(Equal(dandeliongap.Replica{
+			ID: "order-shard-01/2", Service: "order-shard-01", Address: "127.0.0.1:21001", Zone: "zone-b",
+			Slots: 3, Connections: 30, ConnectCost: 6 * time.Millisecond, ColdLimit: 1,
+		})))
+		Expect(kelani.Services["quarry-dispatch"].Actions).To(BeTrue())
+		Expect(kelani.Services["order-search"].Actions).To(BeFalse())
+		Expect(kelani.Services["invoicing"].Deadline).To(Equal(500 * time.Millisecond))
+		Expect(kelani.Services["lorry-tracking"].Deadline).To(Equal(300 * time.Millisecond))
+		stejar := deployment("stejar.ini")
+		Expect(stejar.Services["archive"].Class).To(Equal(dandeliongap.ClassArchive))
+		Expect(stejar.Services["toolroom-search"].Partial).To(BeTrue())
+		Expect(stejar.Services["archive"].Partial).To(BeFalse())
+	})
+
+	// Guards against daemon settings whose defaults differ from DefaultDaemon.
+	It("give the daemon its defaults", func() {
+		d, faults := dgsettings.ParseDaemon("daemon.ini", example("daemon.ini"))
+		Expect(faults.String()).To(BeEmpty())
+		want := dgsettings.DefaultDaemon()
+		want.VM, want.Zone = "entry-1", "zone-a"
+		want.CallerListen, want.CallerAnnounce = "127.0.0.1:8080", "127.0.0.1:8080"
+		want.PeerListen, want.PeerAnnounce = "127.0.0.1:8081", "127.0.0.1:8081"
+		want.Platform = "127.0.0.1:8000"
+		want.Seeds = []string{"127.0.0.1:8083", "127.0.0.1:8085"}
+		want.OperatorToken = "change-this-token-before-use"
+		Expect(d).To(Equal(want))
+	})
+})
