--- a/dgsettings/checks.go
+++ b/dgsettings/checks.go
@@ -6,6 +6,7 @@
 	"unicode"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgsettings/dgactions"
 	"dandeliongap.example/dandeliongap/dgsettings/dgaddress"
 	"dandeliongap.example/dandeliongap/dgsettings/dgannounce"
 	"dandeliongap.example/dandeliongap/dgsettings/dgcold"
@@ -53,6 +54,7 @@
 		dgnoleaf.Check,
 		dgzone.Check,
 		dgaddress.Check,
+		dgactions.Check,
 		dgcold.Check,
 		dgconnections.Check,
 		dgannounce.Check,
--- /dev/null
+++ b/dgsettings/dgactions/dgactions.go
@@ -0,0 +1,49 @@
+// Package dgactions checks that a group that accepts actions passes them to
+// services that accept them.
+package dgactions
+
+import (
+	_ "embed" // for the example
+
+	"dandeliongap.example/dandeliongap/dgsettings/dgschema"
+	"dandeliongap.example/dandeliongap/dgsettings/dgtext"
+)
+
+//go:embed testdata/example.ini
+var example string
+
+// Check is the table entry.
+var Check = dgschema.Check{
+	Name:  "actions",
+	Title: "A group that accepts actions depends only on services that accept actions",
+	Text: "An action on a group goes to exactly one leaf service, chosen by the idempotency key. " +
+		"If that service does not accept actions, some keys would work and others would not.",
+	Since:   "0.1",
+	Example: example,
+	Run:     run,
+}
+
+// run looks at direct dependencies, which covers nested groups because each of
+// them is looked at too.
+func run(in *dgschema.Input) []dgtext.Fault {
+	services := dgschema.Services(in.Document)
+	refuses := map[string]bool{}
+	for _, service := range services {
+		accepts, _, ok := service.Value(dgschema.KeyActions)
+		refuses[service.Section.Name] = ok && !accepts.Yes
+	}
+	var report dgtext.Report
+	for _, service := range services {
+		accepts, _, _ := service.Value(dgschema.KeyActions)
+		if !accepts.Yes {
+			continue
+		}
+		depends, _ := service.Section.Key(dgschema.KeyDepends)
+		for _, name := range service.Depends() {
+			if refuses[name] {
+				report.Add(depends.Line, "%s accepts actions but depends on %q, which does not", service.Section.Title(), name)
+			}
+		}
+	}
+	return report
+}
