--- a/dgsettings/dgorder/dgorder.go
+++ b/dgsettings/dgorder/dgorder.go
@@ -1,4 +1,4 @@
-// Package dgorder checks that "like" is the first key of its section.
+// Package dgorder checks the order of the keys of a service.
 package dgorder
 
 import (
@@ -14,21 +14,29 @@
 // Check is the table entry.
 var Check = dgschema.Check{
 	Name:  "order",
-	Title: "The key \"like\" is the first key of its section",
-	Text: "A reader then knows where the other keys come from. Also, when the header of a section is lost, its keys " +
-		"belong to the section above; a \"like\" in the middle of a section shows this.",
+	Title: "In a service, the key \"like\" comes first and the replicas come last",
+	Text: "A reader then finds the keys of a service in one place. Also, when the header of a section is lost, its keys " +
+		"belong to the section above, and their order shows this even if no key is given twice.",
 	Since:   "0.1",
 	Example: example,
 	Run:     run,
 }
 
+// run leaves unknown keys to the check "unknown".
 func run(in *dgschema.Input) []dgtext.Fault {
+	rule := in.Schema.Section(dgschema.SectionService)
 	var report dgtext.Report
 	for _, section := range in.Document.Of(dgschema.SectionService) {
+		replicas := false
 		for i, key := range section.Keys {
-			if key.Name == dgschema.KeyLike && i > 0 {
+			_, replica := dgschema.Ordinal(key.Name)
+			switch {
+			case key.Name == dgschema.KeyLike && i > 0:
 				report.Add(key.Line, "%q must be the first key of %s", key.Name, section.Title())
+			case replicas && !replica && rule.Key(key.Name) != nil:
+				report.Add(key.Line, "%q must come before the replicas of %s", key.Name, section.Title())
 			}
+			replicas = replicas || replica
 		}
 	}
 	return report
--- a/dgsettings/dgschema/deployment.go
+++ b/dgsettings/dgschema/deployment.go
@@ -82,7 +82,7 @@
 			serviceKeys, leafKeys,
 			[]KeyRule{
 				{Name: KeyDepends, Kind: KindNames, Text: "services that a search of this group fans out to"},
-				{Name: ReplicaKey, Kind: KindReplica, Text: "address and availability zone of replica N; with the word leaving at the end it gets no new work"},
+				{Name: ReplicaKey, Kind: KindReplica, Text: "address and availability zone of replica N; with the word leaving at the end it gets no new work; last keys of the section"},
 			})},
 }}
 
