Run the checks of deployment texts on deployment texts only

Cause: ParseDaemon panicked on a text with service sections, because the check "order" looked up a section that the schema of daemon settings does not have. Keys of a section are now found by name in constant time.

--- a/dgsettings/dgactions/dgactions.go
+++ b/dgsettings/dgactions/dgactions.go
@@ -26,7 +26,7 @@
 // run looks at direct dependencies, which covers nested groups because each of
 // them is looked at too.
 func run(in *dgschema.Input) []dgtext.Fault {
-	services := dgschema.Services(in.Document)
+	services := in.Services()
 	refuses := map[string]bool{}
 	for _, service := range services {
 		accepts, _, ok := service.Value(dgschema.KeyActions)
--- a/dgsettings/dgaddress/dgaddress.go
+++ b/dgsettings/dgaddress/dgaddress.go
@@ -29,7 +29,7 @@
 	}
 	first := map[string]place{}
 	var report dgtext.Report
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		for _, key := range service.Replicas() {
 			value, ok := dgschema.ReplicaOf(key)
 			if !ok {
--- a/dgsettings/dgconnections/dgconnections.go
+++ b/dgsettings/dgconnections/dgconnections.go
@@ -24,7 +24,7 @@
 
 func run(in *dgschema.Input) []dgtext.Fault {
 	var report dgtext.Report
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		connections, connectionsKey, ok := service.Value(dgschema.KeyConnections)
 		slots, slotsKey, found := service.Value(dgschema.KeySlots)
 		if ok && found && !service.IsGroup() && connections.Number < slots.Number {
--- a/dgsettings/dgcycle/dgcycle.go
+++ b/dgsettings/dgcycle/dgcycle.go
@@ -32,7 +32,7 @@
 
 func run(in *dgschema.Input) []dgtext.Fault {
 	w := walk{services: map[string]dgschema.Service{}, position: map[string]int{}, left: map[string]bool{}}
-	services := dgschema.Services(in.Document)
+	services := in.Services()
 	for _, service := range services {
 		if _, ok := w.services[service.Section.Name]; !ok {
 			w.services[service.Section.Name] = service
--- a/dgsettings/dgdangling/dgdangling.go
+++ b/dgsettings/dgdangling/dgdangling.go
@@ -24,7 +24,7 @@
 
 func run(in *dgschema.Input) []dgtext.Fault {
 	var report dgtext.Report
-	services := dgschema.Services(in.Document)
+	services := in.Services()
 	known := map[string]bool{}
 	used := map[string]bool{}
 	for _, service := range services {
@@ -45,7 +45,7 @@
 			}
 		}
 	}
-	for _, section := range in.Document.Of(dgschema.SectionDefaults) {
+	for _, section := range in.Of(dgschema.SectionDefaults) {
 		if !used[section.Name] {
 			report.Add(section.Line, "no service takes keys from %s", section.Title())
 		}
--- a/dgsettings/dgkind/dgkind.go
+++ b/dgsettings/dgkind/dgkind.go
@@ -24,7 +24,7 @@
 
 func run(in *dgschema.Input) []dgtext.Fault {
 	var report dgtext.Report
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		section := service.Section
 		replicas := service.Replicas()
 		switch {
--- a/dgsettings/dglimits/dglimits.go
+++ b/dgsettings/dglimits/dglimits.go
@@ -27,7 +27,7 @@
 	report := in.Problems(dgschema.CheckLimits)
 	const tooMany = "the text has more than %d %s; this is the first one over the limit"
 	services, replicas := 0, 0
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		services++
 		if services == dgschema.MaxServices+1 {
 			report.Add(service.Section.Line, tooMany, dgschema.MaxServices, "services")
--- a/dgsettings/dgmissing/dgmissing.go
+++ b/dgsettings/dgmissing/dgmissing.go
@@ -25,11 +25,11 @@
 func run(in *dgschema.Input) []dgtext.Fault {
 	var report dgtext.Report
 	services := map[*dgtext.Section]dgschema.Service{}
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		services[service.Section] = service
 	}
 	for _, rule := range in.Schema.Sections {
-		sections := in.Document.Of(rule.Kind)
+		sections := in.Of(rule.Kind)
 		if rule.Required && len(sections) == 0 {
 			report.Add(1, "there is no section [%s%s]", rule.Kind, nameHint(rule))
 		}
--- a/dgsettings/dgnoleaf/dgnoleaf.go
+++ b/dgsettings/dgnoleaf/dgnoleaf.go
@@ -23,7 +23,7 @@
 }
 
 func run(in *dgschema.Input) []dgtext.Fault {
-	services := dgschema.Services(in.Document)
+	services := in.Services()
 	reaching := reach(services)
 	var report dgtext.Report
 	for _, service := range services {
--- a/dgsettings/dgorder/dgorder.go
+++ b/dgsettings/dgorder/dgorder.go
@@ -26,7 +26,7 @@
 func run(in *dgschema.Input) []dgtext.Fault {
 	rule := in.Schema.Section(dgschema.SectionService)
 	var report dgtext.Report
-	for _, section := range in.Document.Of(dgschema.SectionService) {
+	for _, section := range in.Of(dgschema.SectionService) {
 		replicas := false
 		for i, key := range section.Keys {
 			_, replica := dgschema.Ordinal(key.Name)
--- a/dgsettings/dgschema/check.go
+++ b/dgsettings/dgschema/check.go
@@ -31,3 +31,20 @@
 	})
 	return report
 }
+
+// Of returns the sections of one kind, none if the schema does not have them: the
+// checks of deployment texts find nothing in daemon settings, and the reverse.
+func (in *Input) Of(kind string) []*dgtext.Section {
+	if in.Schema.Section(kind) == nil {
+		return nil
+	}
+	return in.Document.Of(kind)
+}
+
+// Services returns the services of a deployment text, in the order of the text.
+func (in *Input) Services() []Service {
+	if in.Schema.Section(SectionService) == nil {
+		return nil
+	}
+	return Services(in.Document)
+}
--- a/dgsettings/dgtext/document.go
+++ b/dgsettings/dgtext/document.go
@@ -37,6 +37,9 @@
 	Name string // the rest of the header, empty if there is none
 	Keys []Key
 	raw  string // header as the library reads it
+	// first holds the index of the first key of each name, because thousands of
+	// services may look up keys in one long defaults section.
+	first map[string]int
 }
 
 // Key is one "key = value" line.
@@ -57,12 +60,21 @@
 
 // Key returns the section's first key of that name.
 func (s *Section) Key(name string) (Key, bool) {
-	for _, k := range s.Keys {
-		if k.Name == name {
-			return k, true
-		}
+	i, ok := s.first[name]
+	if !ok {
+		return Key{}, false
+	}
+	return s.Keys[i], true
+}
+
+func (s *Section) add(key Key) {
+	if s.first == nil {
+		s.first = map[string]int{}
+	}
+	if _, ok := s.first[key.Name]; !ok {
+		s.first[key.Name] = len(s.Keys)
 	}
-	return Key{}, false
+	s.Keys = append(s.Keys, key)
 }
 
 // Of returns the sections of one kind.
@@ -145,8 +157,7 @@
 	case strings.Contains(key.Value, "%("):
 		d.Problems.Add(line, "the value of %q contains a variable; variables are not supported", key.Name)
 	default:
-		section := d.Sections[len(d.Sections)-1]
-		section.Keys = append(section.Keys, key)
+		d.Sections[len(d.Sections)-1].add(key)
 	}
 }
 
--- a/dgsettings/dgzone/dgzone.go
+++ b/dgsettings/dgzone/dgzone.go
@@ -26,7 +26,7 @@
 func run(in *dgschema.Input) []dgtext.Fault {
 	zones := dgschema.Zones(in.Document)
 	var report dgtext.Report
-	for _, service := range dgschema.Services(in.Document) {
+	for _, service := range in.Services() {
 		for _, key := range service.Replicas() {
 			value, ok := dgschema.ReplicaOf(key)
 			if ok && !zones[value.Zone] {
