--- /dev/null
+++ b/dgstandin/fleet.go
@@ -0,0 +1,176 @@
+package dgstandin
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// FleetOptions configure a Fleet. The fields of Backend apply to each backend
+// server; Replica, Address, Seed and Ledger are set for each.
+type FleetOptions struct {
+	Backend BackendOptions
+	Seed    uint64
+	// FreePorts starts the servers at free ports of 127.0.0.1 instead of the
+	// addresses of the replicas; Addresses then tells where.
+	FreePorts bool
+	// Host is the host of free ports. Default: 127.0.0.1.
+	Host string
+}
+
+// Fleet is one backend server for each replica of a deployment.
+type Fleet struct {
+	ledger   Ledger
+	backends map[dandeliongap.ReplicaID]*Backend
+	services map[dandeliongap.ReplicaID]dandeliongap.ServiceName
+	zones    map[dandeliongap.ReplicaID]dandeliongap.ZoneName
+}
+
+// NewFleet starts a backend server for each replica of d. A leaf service holds
+// version 0 with its place among the leaves of the first group, by name, that
+// depends on it, which is the part that a group without catalog entry expects.
+func NewFleet(d *dandeliongap.Deployment, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{
+		backends: make(map[dandeliongap.ReplicaID]*Backend),
+		services: make(map[dandeliongap.ReplicaID]dandeliongap.ServiceName),
+		zones:    make(map[dandeliongap.ReplicaID]dandeliongap.ZoneName),
+	}
+	parts := implicitParts(d)
+	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
+		for _, r := range d.Services[name].Replicas {
+			if err := f.add(r, o, parts[name]); err != nil {
+				return nil, errors.Join(err, f.Close())
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(r dandeliongap.Replica, o FleetOptions, part dandeliongap.PartID) error {
+	bo := o.Backend
+	bo.Replica = r
+	bo.Ledger = &f.ledger
+	bo.Seed = o.Seed + uint64(len(f.backends))
+	bo.Address = r.Address
+	if o.FreePorts {
+		bo.Address = net.JoinHostPort(cmp.Or(o.Host, "127.0.0.1"), "0")
+	}
+	b, err := NewBackend(bo)
+	if err != nil {
+		return err
+	}
+	b.Hold(0, []dandeliongap.PartID{part})
+	f.backends[r.ID] = b
+	f.services[r.ID] = r.Service
+	f.zones[r.ID] = r.Zone
+	return nil
+}
+
+// implicitParts returns the part of each leaf service in version 0.
+func implicitParts(d *dandeliongap.Deployment) map[dandeliongap.ServiceName]dandeliongap.PartID {
+	parts := make(map[dandeliongap.ServiceName]dandeliongap.PartID)
+	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
+		if d.Services[name].Kind != dandeliongap.KindGroup {
+			continue
+		}
+		for i, leaf := range d.Services[name].Leaves {
+			if _, found := parts[leaf]; !found {
+				parts[leaf] = dandeliongap.PartID(i)
+			}
+		}
+	}
+	return parts
+}
+
+// Backend returns the server of a replica, or nil.
+func (f *Fleet) Backend(id dandeliongap.ReplicaID) *Backend { return f.backends[id] }
+
+// Ledger returns the runs of actions over all servers.
+func (f *Fleet) Ledger() *Ledger { return &f.ledger }
+
+// Addresses returns where the server of each replica listens.
+func (f *Fleet) Addresses() map[dandeliongap.ReplicaID]string {
+	m := make(map[dandeliongap.ReplicaID]string, len(f.backends))
+	for id, b := range f.backends {
+		m[id] = b.Address()
+	}
+	return m
+}
+
+// Counters returns the sum over all servers.
+func (f *Fleet) Counters() BackendCounters {
+	var sum BackendCounters
+	for _, b := range f.backends {
+		sum.add(b.Counters())
+	}
+	sum.DuplicateRuns = f.ledger.DuplicateRuns()
+	return sum
+}
+
+// Each calls fn for each server, in the order of the replica ids.
+func (f *Fleet) Each(fn func(id dandeliongap.ReplicaID, b *Backend)) {
+	for _, id := range slices.Sorted(maps.Keys(f.backends)) {
+		fn(id, f.backends[id])
+	}
+}
+
+// InService returns the servers of one service, in the order of the replica ids.
+func (f *Fleet) InService(name dandeliongap.ServiceName) []*Backend {
+	return f.where(func(id dandeliongap.ReplicaID) bool { return f.services[id] == name })
+}
+
+// InZone returns the servers of one availability zone, in the order of the
+// replica ids.
+func (f *Fleet) InZone(name dandeliongap.ZoneName) []*Backend {
+	return f.where(func(id dandeliongap.ReplicaID) bool { return f.zones[id] == name })
+}
+
+func (f *Fleet) where(match func(dandeliongap.ReplicaID) bool) []*Backend {
+	var found []*Backend
+	f.Each(func(id dandeliongap.ReplicaID, b *Backend) {
+		if match(id) {
+			found = append(found, b)
+		}
+	})
+	return found
+}
+
+// SetFaults replaces the faults of the given servers.
+func SetFaults(servers []*Backend, faults BackendFaults) {
+	for _, b := range servers {
+		b.SetFaults(faults)
+	}
+}
+
+// HoldSnapshot makes the servers of each shard hold the snapshot's version with
+// the shard's parts.
+func (f *Fleet) HoldSnapshot(s dandeliongap.Snapshot) {
+	for _, shard := range s.Shards {
+		for _, b := range f.InService(shard.Service) {
+			b.Hold(s.Version, shard.Parts)
+		}
+	}
+}
+
+// ReleaseSnapshot makes the servers of each shard answer 410 for the snapshot's
+// version.
+func (f *Fleet) ReleaseSnapshot(s dandeliongap.Snapshot) {
+	for _, shard := range s.Shards {
+		for _, b := range f.InService(shard.Service) {
+			b.Release(s.Version)
+		}
+	}
+}
+
+// Close stops all servers and waits for their handlers.
+func (f *Fleet) Close() error {
+	var err error
+	for _, b := range f.backends {
+		err = errors.Join(err, b.Close())
+	}
+	return err
+}
