--- a/dgbackend/client.go
+++ b/dgbackend/client.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"github.com/gravitational/trace"
 )
 
 // Options of a Client. The zero value uses the defaults.
@@ -21,47 +25,190 @@
 	DefaultMaxAnswer   = 4 << 20
 )
 
+// healthTimeout bounds a health call whose context has no deadline.
+const healthTimeout = time.Second
+
 // Stats are counters of a Client since it was created, except Open and Idle,
 // which are current.
 type Stats struct {
-	Requests  int64 // POST /query whose first byte was written
+	Requests  int64 // POST /query of which a byte was written
 	Dials     int64 // TCP connects that were tried
 	DialFails int64 // TCP connects that failed
 	Ahead     int64 // connections opened before a request needed them
-	Cancels   int64 // DELETE /query/ID that were written
+	Cancels   int64 // DELETE /query/ID of which a byte was written
 	Broken    int64 // connections closed for an unfinished, truncated or crossed answer
-	Stale     int64 // idle connections that the backend server had closed
+	Stale     int64 // free connections that the backend server had closed or written to
 	Open      int64 // connections that count against Replica.Connections
 	Idle      int64 // of these, free ones
 }
 
+// poolKey tells the pools apart. A replica whose address changes is another
+// backend server.
+type poolKey struct {
+	id   dandeliongap.ReplicaID
+	addr string
+}
+
 // Client is a dandeliongap.BackendClient. It is safe for concurrent use.
-type Client struct{}
+type Client struct {
+	opt   Options
+	stats counters
+
+	mu     sync.RWMutex
+	pools  map[poolKey]*pool
+	closed bool
+	wg     sync.WaitGroup // requests, cancellations and connections under way
+}
 
 var _ dandeliongap.BackendClient = (*Client)(nil)
 
 // New returns a client without connections.
-func New(o Options) *Client { _ = o; return &Client{} }
+func New(o Options) *Client {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.MaxAnswer <= 0 {
+		o.MaxAnswer = DefaultMaxAnswer
+	}
+	return &Client{opt: o, pools: make(map[poolKey]*pool)}
+}
 
-// Send sends one sub-request; see dandeliongap.BackendClient.
-func (c *Client) Send(ctx context.Context, r *dandeliongap.Replica, req *dandeliongap.BackendRequest) dandeliongap.BackendAnswer {
-	panic("not implemented yet")
+// enter returns the pool of a replica and registers the caller with the wait
+// group; nil after Close.
+func (c *Client) enter(r *dandeliongap.Replica) *pool {
+	key := poolKey{r.ID, r.Address}
+	c.mu.RLock()
+	p := c.pools[key]
+	if p != nil && !c.closed {
+		c.wg.Add(1)
+		c.mu.RUnlock()
+		return p
+	}
+	c.mu.RUnlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	p = c.pools[key]
+	if p == nil {
+		p = newPool(c, r.Address)
+		c.pools[key] = p
+	}
+	c.wg.Add(1)
+	return p
 }
 
-// Health asks the replica's health endpoint.
+// Health returns the sign "draining" of the replica's health endpoint. Its error
+// is ErrUnreachable or ErrClosed.
 func (c *Client) Health(ctx context.Context, r *dandeliongap.Replica) (draining bool, err error) {
-	panic("not implemented yet")
+	p := c.enter(r)
+	if p == nil {
+		return false, trace.Wrap(dandeliongap.ErrClosed)
+	}
+	defer c.wg.Done()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(healthTimeout)
+	}
+	cn, reason := p.acquire(ctx, r, end)
+	if reason != dandeliongap.ReasonNone {
+		return false, unreachable(r, reason.String())
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.tcp.SetDeadline(time.Now()) })
+	body, err := p.health(cn, end)
+	stop()
+	if err != nil {
+		return false, unreachable(r, err.Error())
+	}
+	var h struct{ State string }
+	if err := json.Unmarshal(body, &h); err != nil {
+		return false, unreachable(r, err.Error())
+	}
+	return h.State == "draining", nil
 }
 
-// Drop waits for the requests under way at the replica, closes its connections
-// and returns when the backend server has closed them too. An owner calls it
-// before it releases the replica to another VM.
+func unreachable(r *dandeliongap.Replica, why string) error {
+	return trace.Wrap(fmt.Errorf("backend server %s at %s: %s: %w", r.ID, r.Address, why, dandeliongap.ErrUnreachable))
+}
+
+// errStatus reports a status that the protocol does not have.
+type errStatus int
+
+// Error names the status.
+func (e errStatus) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+// Drop closes the connections of a replica: it refuses new requests as not run,
+// waits for the ones under way and returns when the backend server has closed
+// all connections too. An owner calls it before it releases the replica to
+// another VM. Afterwards the replica can be used again. Its error is that of ctx,
+// after which connections may be open still.
 func (c *Client) Drop(ctx context.Context, id dandeliongap.ReplicaID) error {
-	panic("not implemented yet")
+	c.mu.RLock()
+	if c.closed {
+		c.mu.RUnlock()
+		return trace.Wrap(dandeliongap.ErrClosed)
+	}
+	c.wg.Add(1)
+	defer c.wg.Done()
+	var dropped []*pool
+	for key, p := range c.pools {
+		if key.id == id {
+			dropped = append(dropped, p)
+		}
+	}
+	c.mu.RUnlock()
+	for _, p := range dropped {
+		empty := p.shut()
+		defer p.reopen()
+		select {
+		case <-empty:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+	return nil
 }
 
 // Stats returns the counters.
-func (c *Client) Stats() Stats { panic("not implemented yet") }
+func (c *Client) Stats() Stats {
+	s := Stats{
+		Requests:  c.stats.requests.Load(),
+		Dials:     c.stats.dials.Load(),
+		DialFails: c.stats.dialFails.Load(),
+		Ahead:     c.stats.ahead.Load(),
+		Cancels:   c.stats.cancels.Load(),
+		Broken:    c.stats.broken.Load(),
+		Stale:     c.stats.stale.Load(),
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.pools {
+		p.mu.Lock()
+		s.Open += int64(p.open)
+		s.Idle += int64(len(p.idle))
+		p.mu.Unlock()
+	}
+	return s
+}
 
-// Close waits for requests under way and closes all connections.
-func (c *Client) Close() error { panic("not implemented yet") }
+// Close refuses new requests, waits for requests under way and closes all
+// connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		c.wg.Wait()
+		return nil
+	}
+	c.closed = true
+	c.wg.Add(1)
+	pools := c.pools
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.shut()
+	}
+	c.wg.Done()
+	c.wg.Wait()
+	return nil
+}
--- /dev/null
+++ b/dgbackend/client_test.go
@@ -0,0 +1,397 @@
+package dgbackend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbackend"
+	"dandeliongap.example/dandeliongap/dgstandin"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// patience bounds waits for events that always come; it is no expected time.
+const patience = 20 * time.Second
+
+var queries atomic.Uint64
+
+func search() *dandeliongap.BackendRequest {
+	return &dandeliongap.BackendRequest{
+		ID:       dandeliongap.SubID{Entry: 0xabc, Query: queries.Add(1), Shard: 17, Attempt: 2},
+		Deadline: time.Now().Add(patience),
+		Body:     []byte("ballast 40 mm"),
+	}
+}
+
+func action(key string) *dandeliongap.BackendRequest {
+	r := search()
+	r.Action, r.Key = true, dandeliongap.IdempotencyKey(key)
+	return r
+}
+
+// rawServer answers each connection with fn, for faults that no HTTP server has.
+func rawServer(fn func(net.Conn, *bufio.Reader)) (replica *dandeliongap.Replica, accepted *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	accepted = new(atomic.Int64)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				fn(c, bufio.NewReader(c))
+			})
+		}
+	})
+	DeferCleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return &dandeliongap.Replica{ID: "raw/0", Address: ln.Addr().String(), Slots: 1, Connections: 2}, accepted
+}
+
+// readRequest reads a request with an empty or short body and returns its head.
+func readRequest(r *bufio.Reader) (string, error) {
+	var head strings.Builder
+	length := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		_, _ = fmt.Sscanf(line, "Content-Length: %d", &length)
+		if line == "\r\n" {
+			break
+		}
+		head.WriteString(line)
+	}
+	_, err := r.Discard(length)
+	return head.String(), err
+}
+
+func requestID(head string) string {
+	_, rest, _ := strings.Cut(head, "Request-Id: ")
+	id, _, _ := strings.Cut(rest, "\r\n")
+	return id
+}
+
+var _ = Describe("Client", func() {
+	var (
+		b *dgstandin.Backend
+		c *dgbackend.Client
+		r *dandeliongap.Replica
+	)
+	start := func(o dgstandin.BackendOptions) {
+		var err error
+		b, err = dgstandin.NewBackend(o)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(b.Close)
+		replica := b.Replica()
+		r = &replica
+	}
+	send := func(req *dandeliongap.BackendRequest) dandeliongap.BackendAnswer {
+		return c.Send(context.Background(), r, req)
+	}
+	options := func(slots, connections int) dgstandin.BackendOptions {
+		return dgstandin.BackendOptions{Replica: dandeliongap.Replica{
+			ID: "orders/0", Service: "orders", Slots: dandeliongap.Slots(slots), Connections: connections,
+		}}
+	}
+	BeforeEach(func() {
+		c = dgbackend.New(dgbackend.Options{MaxAnswer: 64 << 10})
+		DeferCleanup(func() { _ = c.Close() })
+	})
+
+	It("sends the id, class, version and deadline and returns the whole answer", func() {
+		start(options(3, 30))
+		b.Hold(7, []dandeliongap.PartID{4, 9})
+		req := search()
+		req.Index = 7
+		a := send(req)
+		Expect(a.Status).To(Equal(dandeliongap.SubAnswered))
+		Expect(a.Index).To(BeEquivalentTo(7))
+		Expect(string(a.Body)).To(ContainSubstring(`"Part":9`))
+		Expect(a.Cold).To(BeFalse())
+	})
+
+	It("sends the Request-Id in the form of SubID.String", func() {
+		ids := make(chan string, 1)
+		r, _ = rawServer(func(_ net.Conn, br *bufio.Reader) {
+			head, _ := readRequest(br)
+			ids <- requestID(head)
+		})
+		req := search()
+		send(req)
+		Expect(<-ids).To(Equal(req.ID.String()))
+	})
+
+	DescribeTable("maps refusals to not run with their reason",
+		func(prepare func(), change func(*dandeliongap.BackendRequest), reason dandeliongap.Reason) {
+			start(options(3, 30))
+			prepare()
+			req := search()
+			change(req)
+			a := send(req)
+			Expect(a.Status).To(Equal(dandeliongap.SubNotRun))
+			Expect(a.Reason).To(Equal(reason))
+			Expect(b.Counters().Runs).To(BeZero())
+		},
+		Entry("shed", func() { b.SetFaults(dgstandin.BackendFaults{ShedNext: 1}) },
+			func(*dandeliongap.BackendRequest) {}, dandeliongap.ReasonShed),
+		Entry("draining", func() { b.Drain(true) },
+			func(*dandeliongap.BackendRequest) {}, dandeliongap.ReasonDraining),
+		Entry("index version not held", func() {},
+			func(q *dandeliongap.BackendRequest) { q.Index = 99 }, dandeliongap.ReasonVersionGone),
+		Entry("deadline passed before it was sent", func() {},
+			func(q *dandeliongap.BackendRequest) { q.Deadline = time.Now().Add(-time.Second) }, dandeliongap.ReasonDeadline),
+		Entry("connection refused", func() { b.Stop() },
+			func(*dandeliongap.BackendRequest) {}, dandeliongap.ReasonConnection),
+	)
+
+	It("reports the advice of a refusal and the cold state", func() {
+		o := options(3, 30)
+		o.StartCold, o.RetryAfter = true, 70*time.Millisecond
+		start(o)
+		b.SetFaults(dgstandin.BackendFaults{ShedNext: 1})
+		a := send(search())
+		Expect(a.RetryAfter).To(Equal(70 * time.Millisecond))
+		Expect(a.Cold).To(BeTrue())
+	})
+
+	It("does not call a 503 without Not-Run not run", func() {
+		r, _ = rawServer(func(conn net.Conn, br *bufio.Reader) {
+			_, _ = readRequest(br)
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		})
+		Expect(send(action("k")).Status).To(Equal(dandeliongap.SubUnknown))
+	})
+
+	DescribeTable("reports a broken answer as unknown and never reuses its connection",
+		func(f dgstandin.BackendFaults, reason dandeliongap.Reason) {
+			start(options(1, 2))
+			b.SetFaults(f)
+			a := send(search())
+			Expect(a.Status).To(Equal(dandeliongap.SubUnknown))
+			Expect(a.Reason).To(Equal(reason))
+			Expect(a.Body).To(BeEmpty())
+			before := b.Counters().Connections
+			Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+			Expect(b.Counters().Connections).To(BeNumerically(">", before))
+			Expect(b.Counters().Received).To(BeEquivalentTo(2))
+		},
+		Entry("truncated", dgstandin.BackendFaults{TruncateNext: 1}, dandeliongap.ReasonBroken),
+		Entry("crossed", dgstandin.BackendFaults{CrossNext: 1}, dandeliongap.ReasonBroken),
+		Entry("lost", dgstandin.BackendFaults{LoseNext: 1}, dandeliongap.ReasonConnection),
+	)
+
+	It("refuses an answer above the limit", func() {
+		o := options(1, 2)
+		o.HitsPerPart = 3000
+		start(o)
+		Expect(send(search()).Reason).To(Equal(dandeliongap.ReasonBroken))
+	})
+
+	It("refuses an answer whose end only the end of the connection marks", func() {
+		r, _ = rawServer(func(conn net.Conn, br *bufio.Reader) {
+			head, _ := readRequest(br)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n{}", requestID(head))
+		})
+		Expect(send(search()).Reason).To(Equal(dandeliongap.ReasonBroken))
+	})
+
+	It("never gives bytes after an answer to the next request", func() {
+		r, _ = rawServer(func(conn net.Conn, br *bufio.Reader) {
+			for {
+				head, err := readRequest(br)
+				if err != nil {
+					return
+				}
+				const late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\n{}%s", requestID(head), late)
+			}
+		})
+		for range 5 {
+			Expect(string(send(search()).Body)).To(Equal("{}"))
+		}
+	})
+
+	It("sends nothing twice when the server closes the connection after reading", func() {
+		var posts atomic.Int64
+		var accepted *atomic.Int64
+		r, accepted = rawServer(func(_ net.Conn, br *bufio.Reader) {
+			if head, err := readRequest(br); err == nil && strings.HasPrefix(head, "POST") {
+				posts.Add(1)
+			}
+		})
+		a := send(action("k"))
+		Expect(a.Status).To(Equal(dandeliongap.SubUnknown))
+		Expect(a.Reason).To(Equal(dandeliongap.ReasonConnection))
+		Expect(c.Close()).To(Succeed())
+		Expect(posts.Load()).To(BeEquivalentTo(1))
+		Expect(accepted.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("sends an action once when the server closed the free connections", func() {
+		start(options(2, 4))
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		Eventually(func() int64 { return c.Stats().Idle }, patience).Should(BeEquivalentTo(2))
+		b.Stop()
+		Expect(b.Start()).To(Succeed())
+		a := send(action("once"))
+		Expect(a.Status).To(Equal(dandeliongap.SubAnswered))
+		Expect(b.Ledger().Runs("once")).To(Equal(1))
+		Expect(c.Stats().Stale).To(BeNumerically(">", 0))
+	})
+
+	It("never opens more connections than the replica allows", func() {
+		o := options(3, 3)
+		o.Queue = 100
+		o.Service.Base = time.Millisecond
+		start(o)
+		b.SetFaults(dgstandin.BackendFaults{TruncateShare: 0.2, CrossShare: 0.2, LoseShare: 0.2})
+		var wg sync.WaitGroup
+		for range 16 {
+			wg.Go(func() {
+				for range 20 {
+					send(search())
+				}
+			})
+		}
+		wg.Wait()
+		n := b.Counters()
+		Expect(n.Received).To(BeEquivalentTo(16 * 20))
+		Expect(n.ConnectionViolations).To(BeZero())
+		Expect(n.MostConnections).To(BeEquivalentTo(3))
+	})
+
+	It("gives the place of an unfinished connection back only when the server closed it", func() {
+		o := options(1, 1)
+		o.Queue = 10
+		start(o)
+		hold := make(chan struct{})
+		r2, accepted := rawServer(func(_ net.Conn, br *bufio.Reader) {
+			_, _ = readRequest(br)
+			<-hold
+		})
+		r2.Connections = 1
+		req := search()
+		req.Deadline = time.Now().Add(50 * time.Millisecond)
+		Expect(c.Send(context.Background(), r2, req).Status).To(Equal(dandeliongap.SubUnknown))
+		next := search()
+		next.Deadline = time.Now().Add(50 * time.Millisecond)
+		Expect(c.Send(context.Background(), r2, next).Status).To(Equal(dandeliongap.SubNotRun))
+		Expect(accepted.Load()).To(BeEquivalentTo(1))
+		close(hold)
+		Eventually(func() int64 { return c.Stats().Open }, patience).Should(BeZero())
+	})
+
+	It("opens missing connections ahead and keeps as many as there are slots", func() {
+		start(options(3, 30))
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		Eventually(func() int64 { return c.Stats().Idle }, patience).Should(BeEquivalentTo(3))
+		for range 50 {
+			Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		}
+		Expect(b.Counters().Connections).To(BeEquivalentTo(3))
+		Expect(c.Stats().Open).To(BeEquivalentTo(3))
+	})
+
+	It("cancels at the server and returns when the slot is free", func() {
+		o := options(1, 3)
+		o.Service.Base = patience
+		start(o)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan dandeliongap.BackendAnswer)
+		go func() { done <- c.Send(ctx, r, search()) }()
+		Eventually(func() int64 { return b.Counters().Runs }, patience).Should(BeEquivalentTo(1))
+		cancel()
+		a := <-done
+		Expect(a.Status).To(Equal(dandeliongap.SubCancelled))
+		Expect(b.Busy()).To(BeZero())
+		Expect(b.Counters().Cancelled).To(BeEquivalentTo(1))
+		b.SetService(dgstandin.ServiceTime{})
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		Expect(b.Counters().SlotViolations).To(BeZero())
+	})
+
+	It("sends nothing for a context that ended before", func() {
+		start(options(1, 3))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		a := c.Send(ctx, r, action("k"))
+		Expect(a.Status).To(Equal(dandeliongap.SubNotRun))
+		Expect(a.Reason).To(Equal(dandeliongap.ReasonCancelled))
+		Expect(b.Counters().Received).To(BeZero())
+	})
+
+	It("takes no slot twice while requests are cancelled all the time", func() {
+		o := options(1, 4)
+		o.Service = dgstandin.ServiceTime{Base: 200 * time.Microsecond, Spread: time.Millisecond}
+		start(o)
+		for i := range 200 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%12)*100*time.Microsecond)
+			c.Send(ctx, r, search())
+			cancel()
+		}
+		n := b.Counters()
+		Expect(n.Cancelled).To(BeNumerically(">", 0))
+		Expect(n.SlotViolations).To(BeZero())
+		Expect(n.ConnectionViolations).To(BeZero())
+	})
+
+	It("lets the server give up at the deadline before Send returns", func() {
+		o := options(1, 2)
+		o.Service.Base = patience
+		start(o)
+		req := search()
+		req.Deadline = time.Now().Add(30 * time.Millisecond)
+		a := send(req)
+		Expect(a.Status).To(Equal(dandeliongap.SubUnknown))
+		Expect(a.Reason).To(Equal(dandeliongap.ReasonDeadline))
+		Expect(b.Busy()).To(BeZero())
+	})
+
+	It("reads the sign draining of the health endpoint", func() {
+		start(options(1, 2))
+		Expect(c.Health(context.Background(), r)).To(BeFalse())
+		b.Drain(true)
+		Expect(c.Health(context.Background(), r)).To(BeTrue())
+		b.SetFaults(dgstandin.BackendFaults{Health: dgstandin.HealthError})
+		_, err := c.Health(context.Background(), r)
+		Expect(err).To(MatchError(dandeliongap.ErrUnreachable))
+	})
+
+	It("closes all connections of a dropped replica before Drop returns", func() {
+		start(options(3, 30))
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		Expect(c.Drop(context.Background(), r.ID)).To(Succeed())
+		Expect(b.OpenConnections()).To(BeZero())
+		Expect(c.Stats().Open).To(BeZero())
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+	})
+
+	It("waits for requests under way on Close and refuses later ones", func() {
+		o := options(1, 2)
+		o.Service.Base = 30 * time.Millisecond
+		start(o)
+		done := make(chan dandeliongap.BackendAnswer, 1)
+		go func() { done <- send(search()) }()
+		Eventually(func() int64 { return b.Counters().Runs }, patience).Should(BeEquivalentTo(1))
+		Expect(c.Close()).To(Succeed())
+		Expect((<-done).Status).To(Equal(dandeliongap.SubAnswered))
+		Expect(b.OpenConnections()).To(BeZero())
+		Expect(send(search()).Reason).To(Equal(dandeliongap.ReasonStopping))
+	})
+})
--- /dev/null
+++ b/dgbackend/pool.go
@@ -0,0 +1,295 @@
+package dgbackend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/valyala/fasthttp"
+)
+
+// closeGrace is the time that a backend server has to close its end of a
+// connection after its last request is over.
+const closeGrace = time.Second
+
+// pool holds the connections of one replica.
+type pool struct {
+	c    *Client
+	addr string
+
+	mu      sync.Mutex
+	limit   int // Replica.Connections
+	warm    int // free connections to keep: Replica.Slots
+	idle    []*conn
+	open    int // connections that count against limit, idle ones included
+	waiters []chan struct{}
+	warming bool
+	closing int           // number of Drop and Close calls under way
+	empty   chan struct{} // closed when open reaches 0; nil while nobody waits
+}
+
+func newPool(c *Client, addr string) *pool {
+	return &pool{c: c, addr: addr}
+}
+
+// acquire returns a connection, or the reason why there is none: no byte was
+// sent then. It waits for a place until deadline.
+func (p *pool) acquire(ctx context.Context, r *dandeliongap.Replica, deadline time.Time) (*conn, dandeliongap.Reason) {
+	for {
+		cn, place, wait, reason := p.take(r)
+		switch {
+		case reason != dandeliongap.ReasonNone:
+			return nil, reason
+		case cn != nil:
+			if cn.tcp.SetDeadline(deadline) == nil && cn.quiet() {
+				return cn, dandeliongap.ReasonNone
+			}
+			p.c.stats.stale.Add(1)
+			p.retire(cn, time.Now())
+		case place:
+			return p.dial(ctx, deadline)
+		default:
+			if reason := p.await(ctx, wait, deadline); reason != dandeliongap.ReasonNone {
+				return nil, reason
+			}
+		}
+	}
+}
+
+// take returns a free connection, a place for a new one, or a channel that tells
+// when to try again.
+func (p *pool) take(r *dandeliongap.Replica) (cn *conn, place bool, wait chan struct{}, reason dandeliongap.Reason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing > 0 {
+		return nil, false, nil, dandeliongap.ReasonNotOwner
+	}
+	p.limit, p.warm = max(1, r.Connections), min(int(r.Slots), max(1, r.Connections))
+	if n := len(p.idle); n > 0 {
+		cn = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return cn, false, nil, dandeliongap.ReasonNone
+	}
+	if p.open < p.limit {
+		p.open++
+		return nil, true, nil, dandeliongap.ReasonNone
+	}
+	wait = make(chan struct{})
+	p.waiters = append(p.waiters, wait)
+	return nil, false, wait, dandeliongap.ReasonNone
+}
+
+// await waits for a turn. A turn that comes too late goes to the next one.
+func (p *pool) await(ctx context.Context, wait chan struct{}, deadline time.Time) dandeliongap.Reason {
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	reason := dandeliongap.ReasonDeadline
+	select {
+	case <-wait:
+		return dandeliongap.ReasonNone
+	case <-ctx.Done():
+		reason = dandeliongap.ReasonCancelled
+	case <-t.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, w := range p.waiters {
+		if w == wait {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			return reason
+		}
+	}
+	p.wake()
+	return reason
+}
+
+// wake lets the longest waiting request try again. Callers hold mu.
+func (p *pool) wake() {
+	if len(p.waiters) == 0 {
+		return
+	}
+	close(p.waiters[0])
+	p.waiters = p.waiters[1:]
+}
+
+// dial makes a connection in a place that was taken, or gives the place back.
+func (p *pool) dial(ctx context.Context, deadline time.Time) (*conn, dandeliongap.Reason) {
+	p.c.stats.dials.Add(1)
+	d := net.Dialer{Timeout: p.c.opt.DialTimeout, Deadline: deadline}
+	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	if err == nil {
+		var cn *conn
+		if cn, err = newConn(nc.(*net.TCPConn)); err == nil {
+			return cn, dandeliongap.ReasonNone
+		}
+		_ = nc.Close()
+	}
+	p.c.stats.dialFails.Add(1)
+	p.leave()
+	if ctx.Err() != nil {
+		return nil, dandeliongap.ReasonCancelled
+	}
+	return nil, dandeliongap.ReasonConnection
+}
+
+// leave gives a place back.
+func (p *pool) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.wake()
+	if p.open == 0 && p.empty != nil {
+		close(p.empty)
+		p.empty = nil
+	}
+}
+
+// release makes a connection free after a whole answer and opens missing ones
+// ahead (B6).
+func (p *pool) release(cn *conn) {
+	p.mu.Lock()
+	if p.closing > 0 || len(p.idle) >= p.warm || p.open > p.limit {
+		p.mu.Unlock()
+		p.retire(cn, time.Now())
+		return
+	}
+	p.idle = append(p.idle, cn)
+	p.wake()
+	start := !p.warming && p.open < p.warm
+	if start {
+		p.warming = true
+		p.open++
+		p.c.wg.Add(1)
+	}
+	p.mu.Unlock()
+	if start {
+		go p.openAhead()
+	}
+}
+
+// openAhead opens connections until the pool has as many as it keeps. It stops
+// at the first failure; the next answer starts it again. Callers took the first
+// place and hold the client's wait group.
+func (p *pool) openAhead() {
+	defer p.c.wg.Done()
+	for p.openOne() {
+		p.mu.Lock()
+		more := p.open < p.warm && p.closing == 0
+		if more {
+			p.open++
+		} else {
+			p.warming = false
+		}
+		p.mu.Unlock()
+		if !more {
+			return
+		}
+	}
+	p.mu.Lock()
+	p.warming = false
+	p.mu.Unlock()
+}
+
+// openOne opens one connection in a place that was taken and pays its cost.
+func (p *pool) openOne() bool {
+	end := time.Now().Add(p.c.opt.DialTimeout)
+	cn, reason := p.dial(context.Background(), end)
+	if reason != dandeliongap.ReasonNone {
+		return false
+	}
+	if _, err := p.health(cn, end); err != nil {
+		return false
+	}
+	p.c.stats.ahead.Add(1)
+	return true
+}
+
+// health asks GET /health on a connection and releases or retires it.
+func (p *pool) health(cn *conn, end time.Time) ([]byte, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := p.call(cn, fasthttp.MethodGet, "/health", resp, end); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errStatus(resp.StatusCode())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// call sends a request without a body on a connection, reads the whole answer
+// and releases the connection, or retires it if anything went wrong.
+func (p *pool) call(cn *conn, method, path string, resp *fasthttp.Response, end time.Time) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.Header.SetRequestURI(path)
+	req.Header.SetHost(p.addr)
+	_, err := cn.send(req, end)
+	if err == nil {
+		err = cn.receive(resp, p.c.opt.MaxAnswer)
+	}
+	if err != nil {
+		p.c.stats.broken.Add(1)
+		p.retire(cn, end)
+		return err
+	}
+	if !cn.reusable(resp) {
+		p.retire(cn, time.Now())
+		return nil
+	}
+	p.release(cn)
+	return nil
+}
+
+// retire closes a connection and gives its place back when the backend server
+// has closed its end, at the latest at end plus closeGrace (B1). Callers hold the
+// client's wait group.
+func (p *pool) retire(cn *conn, end time.Time) {
+	p.c.wg.Add(1)
+	go func() {
+		defer p.c.wg.Done()
+		cn.drain(end.Add(closeGrace), p.c.opt.MaxAnswer)
+		p.leave()
+	}()
+}
+
+// shut refuses new requests and closes free connections. It returns a channel
+// that is closed when the last connection is gone. Callers hold the client's
+// wait group and call reopen later.
+func (p *pool) shut() <-chan struct{} {
+	p.mu.Lock()
+	p.closing++
+	idle := p.idle
+	p.idle = nil
+	if p.empty == nil {
+		p.empty = make(chan struct{})
+		if p.open == 0 {
+			close(p.empty)
+		}
+	}
+	empty := p.empty
+	if p.open == 0 {
+		p.empty = nil
+	}
+	p.mu.Unlock()
+	for _, cn := range idle {
+		p.retire(cn, time.Now())
+	}
+	return empty
+}
+
+// reopen allows requests again.
+func (p *pool) reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing--
+}
+
+// counters are the atomic form of Stats.
+type counters struct {
+	requests, dials, dialFails, ahead, cancels, broken, stale atomic.Int64
+}
--- /dev/null
+++ b/dgbackend/send.go
@@ -0,0 +1,317 @@
+package dgbackend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/valyala/fasthttp"
+)
+
+// clockMargin is how much longer than the deadline Send waits for an answer. The
+// clocks of VMs and backend servers agree within it, so that afterwards the
+// backend server has given up too.
+const clockMargin = 250 * time.Millisecond
+
+// cancelledGrace is the time that the answer of a cancelled request has to
+// arrive after the backend server confirmed that its slot is free.
+const cancelledGrace = 100 * time.Millisecond
+
+// maxRetryAfterMs bounds the advice of a refusal, in milliseconds.
+const maxRetryAfterMs = 60_000
+
+// maxRequestTime bounds a request without a deadline.
+const maxRequestTime = 30 * time.Second
+
+// statusCancelled is the status of a request that a DELETE ended.
+const statusCancelled = 499
+
+// maxIDBytes is the length of the longest Request-Id.
+const maxIDBytes = 16 + 1 + 16 + 1 + 8 + 1 + 8
+
+// Names of headers.
+const (
+	headerRequestID  = "Request-Id"
+	headerDeadline   = "Deadline-Unix-Ms"
+	headerClass      = "Class"
+	headerIndex      = "Index-Version"
+	headerKey        = "Idempotency-Key"
+	headerNotRun     = "Not-Run"
+	headerRetryAfter = "Retry-After-Ms"
+	headerLoadState  = "Load-State"
+	headerDraining   = "Draining"
+)
+
+// Send sends one sub-request once (B2); see dandeliongap.BackendClient.
+func (c *Client) Send(ctx context.Context, r *dandeliongap.Replica, req *dandeliongap.BackendRequest) dandeliongap.BackendAnswer {
+	p := c.enter(r)
+	if p == nil {
+		return notRun(dandeliongap.ReasonStopping)
+	}
+	defer c.wg.Done()
+	deadline := req.Deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(maxRequestTime)
+	}
+	if ctx.Err() != nil {
+		return notRun(dandeliongap.ReasonCancelled)
+	}
+	if !time.Now().Before(deadline) {
+		return notRun(dandeliongap.ReasonDeadline)
+	}
+	cn, reason := p.acquire(ctx, r, deadline)
+	if reason != dandeliongap.ReasonNone {
+		return notRun(reason)
+	}
+	return p.exchange(ctx, r, cn, req, deadline)
+}
+
+func notRun(why dandeliongap.Reason) dandeliongap.BackendAnswer {
+	return dandeliongap.BackendAnswer{Status: dandeliongap.SubNotRun, Reason: why}
+}
+
+func unknown(why dandeliongap.Reason) dandeliongap.BackendAnswer {
+	return dandeliongap.BackendAnswer{Status: dandeliongap.SubUnknown, Reason: why}
+}
+
+// exchange writes the request and reads its answer on a connection, which it
+// releases or retires.
+func (p *pool) exchange(ctx context.Context, r *dandeliongap.Replica, cn *conn, req *dandeliongap.BackendRequest, deadline time.Time) dandeliongap.BackendAnswer {
+	hreq, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(hreq)
+	defer fasthttp.ReleaseResponse(resp)
+	var buf [maxIDBytes]byte
+	id := appendID(buf[:0], req.ID)
+	p.fill(hreq, req, id, deadline)
+	end := deadline.Add(clockMargin)
+	began, err := cn.send(hreq, end)
+	if began {
+		p.c.stats.requests.Add(1)
+	}
+	if err != nil {
+		p.retire(cn, end)
+		if !began {
+			return notRun(dandeliongap.ReasonConnection)
+		}
+		p.c.stats.broken.Add(1)
+		return unknown(dandeliongap.ReasonConnection)
+	}
+	k := p.watch(ctx, r, cn, req.ID, end)
+	err = cn.receive(resp, p.c.opt.MaxAnswer)
+	confirmed := k.finish()
+	if err != nil {
+		p.c.stats.broken.Add(1)
+		p.retire(cn, end)
+		return failure(ctx, err, confirmed)
+	}
+	answer, crossed := interpret(resp, id)
+	if crossed {
+		p.c.stats.broken.Add(1)
+		p.retire(cn, end)
+		return answer
+	}
+	if !cn.reusable(resp) {
+		p.retire(cn, end)
+		return answer
+	}
+	p.release(cn)
+	return answer
+}
+
+// appendID appends the id in the form of SubID.String without allocating.
+func appendID(b []byte, id dandeliongap.SubID) []byte {
+	const digits = "0123456789abcdef"
+	for shift := 60; shift >= 0; shift -= 4 {
+		b = append(b, digits[id.Entry>>shift&15])
+	}
+	b = strconv.AppendUint(append(b, '-'), id.Query, 16)
+	b = strconv.AppendUint(append(b, '-'), uint64(id.Shard), 16)
+	return strconv.AppendUint(append(b, '-'), uint64(id.Attempt), 16)
+}
+
+// fill writes the headers of section 9 of the design page.
+func (p *pool) fill(h *fasthttp.Request, req *dandeliongap.BackendRequest, id []byte, deadline time.Time) {
+	h.Header.SetMethod(fasthttp.MethodPost)
+	h.Header.SetRequestURI("/query")
+	h.Header.SetHost(p.addr)
+	h.Header.SetNoDefaultContentType(true)
+	h.Header.SetBytesV(headerRequestID, id)
+	h.Header.Set(headerClass, req.Class.String())
+	var buf [20]byte
+	h.Header.SetBytesV(headerDeadline, strconv.AppendInt(buf[:0], deadline.UnixMilli(), 10))
+	if req.Action {
+		h.Header.Set(headerKey, string(req.Key))
+	} else {
+		h.Header.SetBytesV(headerIndex, strconv.AppendUint(buf[:0], uint64(req.Index), 10))
+	}
+	h.SetBodyRaw(req.Body)
+}
+
+// failure is the result of a request without a whole answer.
+func failure(ctx context.Context, err error, confirmed bool) dandeliongap.BackendAnswer {
+	timeout := errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case timeout && confirmed:
+		return dandeliongap.BackendAnswer{Status: dandeliongap.SubCancelled, Reason: dandeliongap.ReasonCancelled}
+	case timeout && ctx.Err() != nil:
+		return unknown(dandeliongap.ReasonCancelled)
+	case timeout:
+		return unknown(dandeliongap.ReasonDeadline)
+	case errors.Is(err, errBroken):
+		return unknown(dandeliongap.ReasonBroken)
+	default:
+		return unknown(dandeliongap.ReasonConnection)
+	}
+}
+
+// interpret maps a whole answer. It tells whether the answer belongs to another
+// request. A refusal need not carry the Request-Id, but if it does it must be
+// the right one.
+func interpret(resp *fasthttp.Response, id []byte) (a dandeliongap.BackendAnswer, crossed bool) {
+	status := resp.StatusCode()
+	echo := resp.Header.Peek(headerRequestID)
+	if !bytes.Equal(echo, id) && (status == fasthttp.StatusOK || len(echo) > 0) {
+		return unknown(dandeliongap.ReasonBroken), true
+	}
+	a.Cold = string(resp.Header.Peek(headerLoadState)) == "cold"
+	a.Draining = string(resp.Header.Peek(headerDraining)) == "true"
+	a.Index = dandeliongap.IndexVersion(headerUint(resp, headerIndex))
+	a.RetryAfter = time.Duration(min(headerUint(resp, headerRetryAfter), maxRetryAfterMs)) * time.Millisecond
+	said := string(resp.Header.Peek(headerNotRun)) == "true"
+	a.Status, a.Reason = outcome(status, said, a.Draining)
+	if a.Status == dandeliongap.SubAnswered {
+		a.Body = append([]byte(nil), resp.Body()...)
+	}
+	return a, false
+}
+
+// outcome maps a status. Only an explicit Not-Run makes an attempt "not run"
+// (B3).
+func outcome(status int, notRun, draining bool) (dandeliongap.SubStatus, dandeliongap.Reason) {
+	result := dandeliongap.SubUnknown
+	if notRun {
+		result = dandeliongap.SubNotRun
+	}
+	switch status {
+	case fasthttp.StatusOK:
+		return dandeliongap.SubAnswered, dandeliongap.ReasonNone
+	case fasthttp.StatusServiceUnavailable:
+		if draining {
+			return result, dandeliongap.ReasonDraining
+		}
+		return result, dandeliongap.ReasonShed
+	case fasthttp.StatusGone:
+		return result, dandeliongap.ReasonVersionGone
+	case fasthttp.StatusGatewayTimeout:
+		return result, dandeliongap.ReasonDeadline
+	case statusCancelled:
+		if !notRun {
+			result = dandeliongap.SubCancelled
+		}
+		return result, dandeliongap.ReasonCancelled
+	default:
+		return dandeliongap.SubUnknown, dandeliongap.ReasonBroken
+	}
+}
+
+// headerUint returns a header as a number, 0 if it is absent or none.
+func headerUint(resp *fasthttp.Response, name string) uint64 {
+	b := resp.Header.Peek(name)
+	if len(b) == 0 {
+		return 0
+	}
+	n, err := strconv.ParseUint(string(b), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// canceller sends DELETE /query/ID when the context of a request ends before its
+// answer. The zero value does nothing.
+type canceller struct {
+	p   *pool
+	r   *dandeliongap.Replica
+	cn  *conn // connection of the request
+	id  dandeliongap.SubID
+	end time.Time
+
+	stop func() bool
+
+	mu        sync.Mutex
+	abort     context.CancelFunc
+	finished  bool
+	confirmed bool
+}
+
+// watch starts to watch the context of a request.
+func (p *pool) watch(ctx context.Context, r *dandeliongap.Replica, cn *conn, id dandeliongap.SubID, end time.Time) *canceller {
+	if ctx.Done() == nil {
+		return nil
+	}
+	k := &canceller{p: p, r: r, cn: cn, id: id, end: end}
+	p.c.wg.Add(1)
+	k.stop = context.AfterFunc(ctx, k.run)
+	return k
+}
+
+// finish ends the watch before the connection of the request is released. It
+// tells whether the backend server confirmed a cancellation.
+func (k *canceller) finish() bool {
+	if k == nil {
+		return false
+	}
+	if k.stop() {
+		k.p.c.wg.Done()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.finished = true
+	if k.abort != nil {
+		k.abort()
+	}
+	return k.confirmed
+}
+
+// run cancels the request at the backend server. When the server confirms that
+// the slot is free, the answer has cancelledGrace left to arrive (B5).
+func (k *canceller) run() {
+	defer k.p.c.wg.Done()
+	k.mu.Lock()
+	if k.finished {
+		k.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	k.abort = cancel
+	k.mu.Unlock()
+	if !k.delete(ctx) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.finished {
+		return
+	}
+	k.confirmed = true
+	_ = k.cn.tcp.SetReadDeadline(time.Now().Add(cancelledGrace))
+}
+
+// delete sends the cancellation on another connection and waits for its answer.
+func (k *canceller) delete(ctx context.Context) bool {
+	cn, reason := k.p.acquire(ctx, k.r, k.end)
+	if reason != dandeliongap.ReasonNone {
+		return false
+	}
+	k.p.c.stats.cancels.Add(1)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	err := k.p.call(cn, fasthttp.MethodDelete, "/query/"+k.id.String(), resp, k.end)
+	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+}
--- /dev/null
+++ b/dgbackend/suite_test.go
@@ -0,0 +1,22 @@
+package dgbackend_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestBackend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgbackend")
+}
+
+// A goroutine that outlives the Close of its client or stand-in fails the test.
+var _ = BeforeEach(func() {
+	before := goleak.IgnoreCurrent()
+	DeferCleanup(func() {
+		Eventually(func() error { return goleak.Find(before) }, patience).Should(Succeed())
+	})
+})
