--- a/dgcommand/config.go
+++ b/dgcommand/config.go
@@ -61,16 +61,16 @@
 		return nil, nil, err
 	}
 	d, faults := dgsettings.ParseDeployment(file, text)
-	if faults.Len() == 0 {
+	if !faults.Any() {
 		return text, d, nil
 	}
 	if asJSON {
-		if err := printJSON(env.Out, struct{ Faults []dgsettings.Fault }{faults.List()}); err != nil {
+		if err := printJSON(env.Out, struct{ Faults []dgsettings.Fault }{faults.List}); err != nil {
 			return nil, nil, err
 		}
 		return nil, nil, ErrFailed
 	}
-	if _, err := fmt.Fprintln(env.Out, faults.Error()); err != nil {
+	if _, err := fmt.Fprint(env.Out, faults.String()); err != nil {
 		return nil, nil, err
 	}
 	return nil, nil, ErrFailed
--- /dev/null
+++ b/dgcommand/demo.go
@@ -0,0 +1,157 @@
+package dgcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"dandeliongap.example/dandeliongap/dgdemo"
+	"dandeliongap.example/dandeliongap/examples"
+)
+
+// DemoCommand runs the demo.
+type DemoCommand struct {
+	Config  string  `help:"Deployment text; by default the Kelani example." type:"existingfile"`
+	Seconds float64 `default:"8" help:"Length of the load."`
+	Seed    uint64  `default:"1" help:"Seed of arrivals and service times."`
+	Log     string  `help:"File for the decision logs of all VMs." type:"path"`
+	JSON    bool    `name:"json" help:"Print one JSON object as the last line."`
+}
+
+// Help adds an example and the exit codes.
+func (DemoCommand) Help() string {
+	return "Example: dandeliongap demo --config examples/stejar.ini --seconds 20 --seed 7\n\n" +
+		"Exit codes: 0 every promise held and searches were answered, 1 otherwise."
+}
+
+// Run runs the demo and prints each promise as held or broken.
+func (c *DemoCommand) Run(env *Env) error {
+	text, err := textOr(c.Config, dgexamples.Kelani)
+	if err != nil {
+		return err
+	}
+	logs, closeLogs, err := openLog(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	r, err := dgdemo.Run(env.Ctx, dgdemo.Options{
+		Text:     text,
+		Length:   time.Duration(c.Seconds * float64(time.Second)),
+		Seed:     c.Seed,
+		Log:      logs,
+		Progress: env.progress(),
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = printJSON(env.Out, r)
+	} else {
+		err = r.Print(env.Out)
+	}
+	if err == nil && !r.Held() {
+		return ErrFailed
+	}
+	return err
+}
+
+// textOr reads a file, or returns the default text if no file is named.
+func textOr(file, otherwise string) (string, error) {
+	if file == "" {
+		return otherwise, nil
+	}
+	b, err := os.ReadFile(file)
+	return string(b), err
+}
+
+// openLog opens the file for decision logs; nil if none is named.
+func openLog(file string) (io.Writer, func(), error) {
+	if file == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	return f, func() { _ = f.Close() }, nil
+}
+
+// progress prints what is going on, if standard output is a terminal.
+func (e *Env) progress() func(string) {
+	if !e.IsTerm {
+		return nil
+	}
+	return func(what string) { fmt.Fprintln(e.Err, "...", what) }
+}
+
+// LoadCommand runs an open-loop load.
+type LoadCommand struct {
+	Config   string        `help:"Deployment text; by default the Kelani example." type:"existingfile"`
+	Rate     float64       `default:"200" help:"Requests per second; arrivals do not wait for answers."`
+	Seconds  float64       `default:"20" help:"Length of the load."`
+	Seed     uint64        `default:"1" help:"Seed of arrivals and service times."`
+	Fault    dgdemo.Fault  `default:"none" enum:"none,straggler,replica-lost,shard-lost,cold,zone,platform-down,vm-replaced" help:"Fault to show: ${enum}."`
+	At       time.Duration `default:"5s" help:"Time of the fault, from the start of the load."`
+	Baseline bool          `default:"true" negatable:"" help:"Run the baseline policy with the same seed too."`
+	Log      string        `help:"File for the decision logs of all VMs." type:"path"`
+	JSON     bool          `name:"json" help:"Print one JSON object as the last line."`
+}
+
+// Help adds an example.
+func (LoadCommand) Help() string {
+	return "Example: dandeliongap load --fault zone --rate 300 --seconds 30\n\n" +
+		"The load runs against an embedded cluster of the real programs on loopback, once with the baseline policy\n" +
+		"(random replica, no hedge, fixed timeout) and once with the chosen one."
+}
+
+// Run runs the load and prints one row per policy.
+func (c *LoadCommand) Run(env *Env) error {
+	text, err := textOr(c.Config, dgexamples.Kelani)
+	if err != nil {
+		return err
+	}
+	logs, closeLogs, err := openLog(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	r, err := dgdemo.Load(env.Ctx, dgdemo.LoadOptions{
+		Text:     text,
+		Rate:     c.Rate,
+		Length:   time.Duration(c.Seconds * float64(time.Second)),
+		Seed:     c.Seed,
+		Fault:    c.Fault,
+		At:       c.At,
+		Baseline: c.Baseline,
+		Log:      logs,
+		Progress: env.loadProgress(),
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(env.Out, r)
+	}
+	return r.Print(env.Out)
+}
+
+// progressEvery is the time between two progress lines.
+const progressEvery = 2 * time.Second
+
+// loadProgress prints the share that is done every two seconds, if standard
+// output is a terminal.
+func (e *Env) loadProgress() func(string, float64) {
+	if !e.IsTerm {
+		return nil
+	}
+	var last time.Time
+	return func(what string, share float64) {
+		if time.Since(last) < progressEvery {
+			return
+		}
+		last = time.Now()
+		fmt.Fprintf(e.Err, "... %s %.0f%%\n", what, 100*share)
+	}
+}
--- /dev/null
+++ b/dgdaemon/daemon.go
@@ -0,0 +1,135 @@
+// Package dgdaemon starts the daemon from its settings and flags, and starts it
+// again with a new incarnation when the other VMs fenced it.
+package dgdaemon
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbackend"
+	"dandeliongap.example/dandeliongap/dgnode"
+	"dandeliongap.example/dandeliongap/dgplatform"
+	"dandeliongap.example/dandeliongap/dgsettings"
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Flags are the flags of the daemon; each goes before the settings file.
+type Flags struct {
+	Settings     string `required:"" help:"Settings file (INI)." type:"path"`
+	VM           string `name:"vm" help:"Name of this VM."`
+	Zone         string `help:"Availability zone of this VM."`
+	CallerListen string `help:"Address for callers and operators, IP:port."`
+	PeerListen   string `help:"Address for the other VMs, IP:port."`
+	Platform     string `help:"Address of the platform, host:port."`
+	LogLevel     string `help:"debug, info, warn or error."`
+	CheckOnly    bool   `name:"check" help:"Check the settings and exit."`
+}
+
+// Main runs the daemon until a value arrives on stop, and returns the exit code.
+func Main(f *Flags, out, errOut io.Writer, stop <-chan os.Signal) int {
+	s, err := f.read()
+	if err != nil {
+		fmt.Fprintln(errOut, "dandeliongapd:", err)
+		return ExitUsage
+	}
+	if f.CheckOnly {
+		fmt.Fprintln(out, f.Settings+": no fault")
+		return ExitOK
+	}
+	logger, err := newLogger(out, s)
+	if err != nil {
+		fmt.Fprintln(errOut, "dandeliongapd:", err)
+		return ExitUsage
+	}
+	if err := run(s, logger, stop); err != nil {
+		logger.Error("failed", "Error", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// read reads the settings file and puts the flags over it.
+func (f *Flags) read() (dgsettings.Daemon, error) {
+	text, err := os.ReadFile(f.Settings)
+	if err != nil {
+		return dgsettings.Daemon{}, trace.Wrap(err)
+	}
+	s, faults := dgsettings.ParseDaemon(f.Settings, text)
+	if faults.Any() {
+		return dgsettings.Daemon{}, fmt.Errorf("%w:\n%s", dandeliongap.ErrInvalid, faults)
+	}
+	f.override(&s)
+	return s, nil
+}
+
+func (f *Flags) override(s *dgsettings.Daemon) {
+	if f.VM != "" {
+		s.VM = dandeliongap.VMName(f.VM)
+	}
+	if f.Zone != "" {
+		s.Zone = dandeliongap.ZoneName(f.Zone)
+	}
+	if f.CallerListen != "" {
+		if s.CallerAnnounce == s.CallerListen {
+			s.CallerAnnounce = f.CallerListen
+		}
+		s.CallerListen = f.CallerListen
+	}
+	if f.PeerListen != "" {
+		if s.PeerAnnounce == s.PeerListen {
+			s.PeerAnnounce = f.PeerListen
+		}
+		s.PeerListen = f.PeerListen
+	}
+	if f.Platform != "" {
+		s.Platform = f.Platform
+	}
+	if f.LogLevel != "" {
+		s.LogLevel = f.LogLevel
+	}
+}
+
+func newLogger(out io.Writer, s dgsettings.Daemon) (*log.Logger, error) {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, trace.Wrap(err, "log level %q", s.LogLevel)
+	}
+	l := log.NewWithOptions(out, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, Level: level})
+	return l.With("VM", s.VM), nil
+}
+
+// run serves until stop, with a new incarnation each time that this VM was
+// fenced.
+func run(s dgsettings.Daemon, logger *log.Logger, stop <-chan os.Signal) error {
+	store, err := dgplatform.New(dgplatform.Options{Address: s.Platform})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	backend := dgbackend.New(dgbackend.Options{})
+	for {
+		n, err := dgnode.Start(dgnode.Options{Settings: s, Store: store, Backend: backend, Log: logger})
+		if err != nil {
+			return errors.Join(trace.Wrap(err), backend.Close(), store.Close())
+		}
+		select {
+		case <-stop:
+			return errors.Join(n.Close(), backend.Close(), store.Close())
+		case <-n.Lost():
+			logger.Warn("membership", "Rule", "M4", "Choice", "start again with a new incarnation", "Member", n.Member())
+			if err := n.Close(); err != nil {
+				logger.Error("failed", "Error", err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dgdemo/demo.go
@@ -0,0 +1,363 @@
+package dgdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgclient"
+	"dandeliongap.example/dandeliongap/dgstandin"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	demoVMs  = 6
+	demoRate = 150.0 // requests per second
+	// startLimit bounds the start of the embedded cluster.
+	startLimit = 60 * time.Second
+	// inForceLimit is the target for a change to be in force on every VM.
+	inForceLimit = 2 * time.Second
+)
+
+// ServiceTime is the time of a sub-request at the stand-ins: 1 in 100 is 20 times
+// slower.
+var ServiceTime = dgstandin.ServiceTime{
+	Base:       2 * time.Millisecond,
+	Spread:     2 * time.Millisecond,
+	Stragglers: 0.01,
+	Factor:     20,
+}
+
+// Options of the demo.
+type Options struct {
+	Text     string        // deployment text
+	Length   time.Duration // of the load
+	Seed     uint64
+	Log      io.Writer // decision logs; nil: none
+	Progress func(what string)
+}
+
+// Promise is one promise to the users and what the run showed.
+type Promise struct {
+	ID       string `json:"Id"`
+	Promise  string
+	Held     bool
+	Evidence string
+}
+
+// Report is the result of the demo.
+type Report struct {
+	Searches, Answered, Partial, Refused, Unknown            int64
+	Actions, ActionsAnswered, ActionsRefused, ActionsUnknown int64
+	Coverage                                                 float64
+	P50Ms, P99Ms                                             float64
+	ExtraLoad                                                float64 // sub-requests run beyond those needed, as a share
+	ColdViolations, ZoneViolations, LeavingViolations        int64
+	SlotViolations, ConnectionViolations                     int64
+	SnapshotViolations, CoverageViolations                   int64
+	CrossedAnswers, FalseRefusals, DuplicateRuns             int64
+	ConnectionsLost, ConfigReverts                           int64
+	InForceMs                                                float64 // acceptance of a change to the last VM
+	Promises                                                 []Promise
+}
+
+// Held tells whether every promise held and searches were answered.
+func (r *Report) Held() bool {
+	for _, p := range r.Promises {
+		if !p.Held {
+			return false
+		}
+	}
+	return r.Answered > 0
+}
+
+// Run starts stand-ins and six VMs, sends searches and actions, and on the way
+// publishes a new index version, takes a zone out and returns it, drains a
+// backend server, makes others cold, replaces a VM and changes the text.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	d := &demo{options: o}
+	if d.options.Progress == nil {
+		d.options.Progress = func(string) {}
+	}
+	d.options.Progress("starting stand-ins and VMs")
+	startCtx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	var err error
+	d.cluster, err = NewCluster(startCtx, ClusterOptions{Text: o.Text, VMs: demoVMs, Seed: o.Seed, Service: ServiceTime, Log: o.Log})
+	if err != nil {
+		return nil, err
+	}
+	report, err := d.run(ctx)
+	if cerr := d.cluster.Close(); err == nil {
+		err = cerr
+	}
+	return report, trace.Wrap(err)
+}
+
+type demo struct {
+	options Options
+	cluster *Cluster
+	runner  *Runner
+	reverts int64
+	inForce time.Duration
+	stepErr error
+}
+
+func (d *demo) run(ctx context.Context) (*Report, error) {
+	var err error
+	d.runner, err = NewRunner(d.cluster, Mix(d.cluster.Deployment), d.options.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer d.runner.Close()
+	watchCtx, stop := context.WithCancel(ctx)
+	var watch, steps conc.WaitGroup
+	watch.Go(func() { d.watchConfig(watchCtx) })
+	steps.Go(func() { d.stepErr = d.steps(ctx) })
+	d.runner.Run(ctx, demoRate, d.options.Length)
+	steps.Wait()
+	stop()
+	watch.Wait()
+	if d.stepErr != nil {
+		return nil, d.stepErr
+	}
+	return d.report(), nil
+}
+
+// Mix returns a mix of requests over the services of a deployment: mostly
+// searches of the groups, some urgent, and actions where a group accepts them.
+func Mix(d *dandeliongap.Deployment) []Job {
+	var jobs []Job
+	for _, name := range sortedServices(d) {
+		s := d.Services[name]
+		switch {
+		case s.Kind == dandeliongap.KindGroup && s.Actions:
+			jobs = append(jobs, Job{Service: name, Action: true, Share: 2})
+		case s.Kind == dandeliongap.KindGroup:
+			jobs = append(jobs,
+				Job{Service: name, Class: "ordinary", Share: 8},
+				Job{Service: name, Class: "urgent", Share: 1})
+		case !inGroup(d, name):
+			jobs = append(jobs, Job{Service: name, Class: s.Class.String(), Share: 1})
+		}
+	}
+	return jobs
+}
+
+func sortedServices(d *dandeliongap.Deployment) []dandeliongap.ServiceName {
+	names := make([]dandeliongap.ServiceName, 0, len(d.Services))
+	for name := range d.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func inGroup(d *dandeliongap.Deployment, leaf dandeliongap.ServiceName) bool {
+	for _, s := range d.Services {
+		if s.Kind == dandeliongap.KindGroup && slices.Contains(s.Leaves, leaf) {
+			return true
+		}
+	}
+	return false
+}
+
+// watchConfig counts each time that a VM's configuration version goes down.
+func (d *demo) watchConfig(ctx context.Context) {
+	last := map[dandeliongap.MemberID]dandeliongap.Version{}
+	for ctx.Err() == nil {
+		for _, n := range d.cluster.Nodes() {
+			v := n.View()
+			if v.Config < last[v.Self] {
+				d.reverts++
+			}
+			last[v.Self] = v.Config
+		}
+		time.Sleep(untilStep)
+	}
+}
+
+// steps runs the events of the demo, spread over the length of the load.
+func (d *demo) steps(ctx context.Context) error {
+	client, err := d.cluster.Client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	zone := d.cluster.Deployment.Zones[len(d.cluster.Deployment.Zones)-1]
+	steps := []struct {
+		at   float64 // share of the length
+		what string
+		do   func() error
+	}{
+		{0.10, "new index version", func() error { return d.cluster.PublishCatalog(2) }},
+		{0.20, "zone " + string(zone) + " taken out", func() error { return d.setZone(ctx, client, zone, true) }},
+		{0.35, "a backend server drains", func() error { return d.drain() }},
+		{0.45, "backend servers turn cold without notice", func() error { return d.turnCold() }},
+		{0.55, "zone " + string(zone) + " returned", func() error { return d.setZone(ctx, client, zone, false) }},
+		{0.65, "new configuration", func() error { return d.change(ctx, client) }},
+		{0.75, "one VM replaced", func() error { return d.cluster.ReplaceVM(0) }},
+	}
+	start := time.Now()
+	for _, s := range steps {
+		at := start.Add(time.Duration(s.at * float64(d.options.Length)))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(at)):
+		}
+		d.options.Progress(s.what)
+		if err := s.do(); err != nil {
+			return fmt.Errorf("%s: %w", s.what, err)
+		}
+	}
+	return nil
+}
+
+func (d *demo) setZone(ctx context.Context, client *dgclient.Client, zone dandeliongap.ZoneName, out bool) error {
+	if !out {
+		// The stand-ins stop counting before the tier may send again.
+		for _, b := range d.cluster.Fleet.InZone(zone) {
+			b.ZoneOut(false)
+		}
+	}
+	if err := client.Zone(ctx, zone, out); err != nil {
+		return err
+	}
+	if out {
+		for _, b := range d.cluster.Fleet.InZone(zone) {
+			b.ZoneOut(true)
+		}
+	}
+	return nil
+}
+
+// drain drains one backend server of the first group.
+func (d *demo) drain() error {
+	leaf := d.firstLeaf()
+	d.cluster.Fleet.InService(leaf)[0].Drain(true)
+	return nil
+}
+
+func (d *demo) firstLeaf() dandeliongap.ServiceName {
+	for _, name := range sortedServices(d.cluster.Deployment) {
+		if s := d.cluster.Deployment.Services[name]; s.Kind == dandeliongap.KindGroup && !s.Actions {
+			return s.Leaves[0]
+		}
+	}
+	return sortedServices(d.cluster.Deployment)[0]
+}
+
+// turnCold makes one backend server of every third leaf cold.
+func (d *demo) turnCold() error {
+	i := 0
+	d.cluster.Fleet.Each(func(_ dandeliongap.ReplicaID, b *dgstandin.Backend) {
+		if i%6 == 0 {
+			b.TurnCold()
+		}
+		i++
+	})
+	return nil
+}
+
+// change applies the text with one more comment and waits until it is in force
+// on every VM.
+func (d *demo) change(ctx context.Context, client *dgclient.Client) error {
+	_, version, err := client.GetConfig(ctx)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	version, err = client.ApplyConfig(ctx, "# changed during the demo\n"+d.cluster.Text, version, uuid.NewString())
+	if err != nil {
+		return err
+	}
+	err = d.cluster.Until(ctx, "the change is in force", func() bool {
+		for _, n := range d.cluster.Nodes() {
+			if n.View().Config < version {
+				return false
+			}
+		}
+		return true
+	})
+	d.inForce = time.Since(started)
+	return err
+}
+
+func (d *demo) report() *Report {
+	t := d.runner.tally
+	c := d.cluster.Fleet.Counters()
+	r := &Report{
+		Searches: t.Searches, Answered: t.Answered, Partial: t.Partial, Refused: t.Refused, Unknown: t.Unknown,
+		Actions: t.Actions, ActionsAnswered: t.ActionsAnswered, ActionsRefused: t.ActionsRefused, ActionsUnknown: t.ActionsUnknown,
+		Coverage:             t.Coverage(),
+		P50Ms:                t.Quantile("", 50),
+		P99Ms:                t.Quantile("", 99),
+		ExtraLoad:            max(0, float64(c.Runs)/float64(max(t.Expected, 1))-1),
+		ColdViolations:       c.ColdViolations,
+		ZoneViolations:       c.ZoneViolations,
+		LeavingViolations:    c.LeavingViolations,
+		SlotViolations:       c.SlotViolations,
+		ConnectionViolations: c.ConnectionViolations,
+		SnapshotViolations:   t.SnapshotViolations,
+		CoverageViolations:   t.CoverageViolations,
+		CrossedAnswers:       t.CrossedViolations,
+		FalseRefusals:        d.runner.falseRefusals(),
+		DuplicateRuns:        c.DuplicateRuns,
+		ConnectionsLost:      t.ConnectionsLost,
+		ConfigReverts:        d.reverts,
+		InForceMs:            float64(d.inForce.Microseconds()) / 1000,
+	}
+	r.Promises = promises(r)
+	return r
+}
+
+// promises lists the ten promises with what the stand-ins and callers saw.
+func promises(r *Report) []Promise {
+	count := func(id, text string, n int64, of string) Promise {
+		return Promise{ID: id, Promise: text, Held: n == 0, Evidence: fmt.Sprintf("%d %s", n, of)}
+	}
+	inForce := count("P10", "an accepted configuration is in force everywhere and never reverts", r.ConfigReverts, "reverts")
+	inForce.Held = inForce.Held && r.InForceMs <= float64(inForceLimit.Milliseconds())
+	inForce.Evidence += fmt.Sprintf(", in force after %.0f ms", r.InForceMs)
+	cold := count("P3", "cold backend servers receive no more than they can bear", r.ColdViolations, "requests above the cold limit")
+	cold.Evidence += fmt.Sprintf(", %d above the slots, %d above the connections", r.SlotViolations, r.ConnectionViolations)
+	cold.Held = cold.Held && r.SlotViolations == 0 && r.ConnectionViolations == 0
+	return []Promise{
+		count("P1", "every answer comes from one snapshot", r.SnapshotViolations, "answers with hits of another version"),
+		count("P2", "coverage is reported truly", r.CoverageViolations, "answers whose parts differ from the report"),
+		cold,
+		count("P4", "a zone taken out receives no new work", r.ZoneViolations, "requests after 3 s"),
+		count("P5", "each caller receives its own whole answer", r.CrossedAnswers, "answers with hits of another query"),
+		count("P6", "\"not run\" is true", r.FalseRefusals, "refused actions that ran"),
+		count("P7", "actions run at most once", r.DuplicateRuns, "actions that ran twice"),
+		count("P8", "leaving backend servers receive no new work", r.LeavingViolations, "requests after 3 s"),
+		count("P9", "planned stops cut off no request", r.ConnectionsLost, "requests cut off"),
+		inForce,
+	}
+}
+
+// Print writes the report as a table for people.
+func (r *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "searches\t%d\tanswered in full %d, in part %d, refused %d, unknown %d\n", r.Searches, r.Answered, r.Partial, r.Refused, r.Unknown)
+	fmt.Fprintf(w, "actions\t%d\tanswered %d, refused %d, unknown %d\n", r.Actions, r.ActionsAnswered, r.ActionsRefused, r.ActionsUnknown)
+	fmt.Fprintf(w, "latency\t\tp50 %.1f ms, p99 %.1f ms\n", r.P50Ms, r.P99Ms)
+	fmt.Fprintf(w, "coverage\t\t%.3f%%\n", 100*r.Coverage)
+	fmt.Fprintf(w, "extra load\t\t%.2f%%\n\n", 100*r.ExtraLoad)
+	for _, p := range r.Promises {
+		state := "held"
+		if !p.Held {
+			state = "BROKEN"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.ID, state, strings.TrimSpace(p.Promise), p.Evidence)
+	}
+	return w.Flush()
+}
--- a/dgmember/limits.go
+++ b/dgmember/limits.go
@@ -21,10 +21,10 @@
 	retryEvery   = time.Second // failed calls about members
 	joinEvery    = time.Second
 	joinAttempts = 3
-	smallFleet   = 12  // VMs that hear of each other within 3 s
-	largeFleet   = 100 // VMs up to which W is short
-	unlistedRank = 3   // longest wait of a VM that is not listed, in steps of RankStep
-	maxBefore    = 8   // earlier lists that one list may name
+	smallFleet   = 12    // VMs that hear of each other within 3 s
+	largeFleet   = 100   // VMs up to which W is short
+	unlistedRank = 3     // longest wait of a VM that is not listed, in steps of RankStep
+	maxBefore    = 8     // earlier lists that one list may name
 	maxDropped   = 10000 // ids of dropped members that are remembered
 	attemptsKept = 8
 
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -36,12 +36,17 @@
 	"golang.org/x/net/netutil"
 )
 
-// Options are what a Node is built from. All but Plain are required.
+// Options are what a Node is built from. Settings, Store, Backend and Log are
+// required.
 type Options struct {
 	Settings dgsettings.Daemon
 	Store    dandeliongap.ObjectStore
 	Backend  dandeliongap.BackendClient
 	Log      *log.Logger
+	// CallerListener and PeerListener replace the listen addresses of the
+	// settings, which still name the announced ones.
+	CallerListener net.Listener
+	PeerListener   net.Listener
 	// Plain makes the VM use the baseline policy for searches, for measurements.
 	Plain bool
 }
@@ -93,7 +98,7 @@
 		PeerAddress:   o.Settings.PeerAnnounce,
 		State:         dandeliongap.MemberLive,
 	}
-	callers, peers, err := listen(o.Settings)
+	callers, peers, err := listen(o)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -104,16 +109,21 @@
 	return n, nil
 }
 
-func listen(s dgsettings.Daemon) (callers, peers net.Listener, err error) {
-	callers, err = net.Listen("tcp", s.CallerListen)
-	if err != nil {
-		return nil, nil, err
+func listen(o Options) (callers, peers net.Listener, err error) {
+	callers, peers = o.CallerListener, o.PeerListener
+	if callers == nil {
+		callers, err = net.Listen("tcp", o.Settings.CallerListen)
+		if err != nil {
+			return nil, nil, err
+		}
 	}
-	peers, err = net.Listen("tcp", s.PeerListen)
-	if err != nil {
-		return nil, nil, errors.Join(err, callers.Close())
+	if peers == nil {
+		peers, err = net.Listen("tcp", o.Settings.PeerListen)
+		if err != nil {
+			return nil, nil, errors.Join(err, callers.Close())
+		}
 	}
-	return callers, netutil.LimitListener(peers, s.Limits.Connections), nil
+	return callers, netutil.LimitListener(peers, o.Settings.Limits.Connections), nil
 }
 
 // build creates the parts and connects them.
--- a/dgstandin/query.go
+++ b/dgstandin/query.go
@@ -306,12 +306,12 @@
 		if i > 0 {
 			body = append(body, ',')
 		}
-		body = b.appendPart(body, sum, part)
+		body = b.appendPart(body, sum, part, p.version)
 	}
 	return append(body, "]}"...)
 }
 
-func (b *Backend) appendPart(body []byte, sum uint32, part dandeliongap.PartID) []byte {
+func (b *Backend) appendPart(body []byte, sum uint32, part dandeliongap.PartID, version dandeliongap.IndexVersion) []byte {
 	body = append(body, `{"Part":`...)
 	body = strconv.AppendUint(body, uint64(part), 10)
 	body = append(body, `,"Hits":[`...)
@@ -319,12 +319,12 @@
 		if n > 0 {
 			body = append(body, ',')
 		}
-		body = appendHit(body, sum, part, n)
+		body = appendHit(body, sum, part, version, n)
 	}
 	return append(body, "]}"...)
 }
 
-func appendHit(body []byte, sum uint32, part dandeliongap.PartID, n int) []byte {
+func appendHit(body []byte, sum uint32, part dandeliongap.PartID, version dandeliongap.IndexVersion, n int) []byte {
 	score := (sum ^ uint32(part)*2654435761 + uint32(n)*40503) % 1000
 	body = append(body, `{"Id":"`...)
 	body = strconv.AppendUint(body, uint64(part), 10)
@@ -334,5 +334,7 @@
 	body = strconv.AppendInt(body, int64(n), 10)
 	body = append(body, `","Score":0.`...)
 	body = append(body, byte('0'+score/100), byte('0'+score/10%10), byte('0'+score%10))
-	return append(body, `,"Text":"hit"}`...)
+	body = append(body, `,"Text":"v`...)
+	body = strconv.AppendUint(body, uint64(version), 10)
+	return append(body, `"}`...)
 }
