--- /dev/null
+++ b/dgplatform/suite_test.go
@@ -0,0 +1,22 @@
+package dgplatform_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgplatform")
+}
+
+// A goroutine that outlives the Close of its client or stand-in fails the test.
+var _ = BeforeEach(func() {
+	before := goleak.IgnoreCurrent()
+	DeferCleanup(func() {
+		Eventually(func() error { return goleak.Find(before) }, patience).Should(Succeed())
+	})
+})
