--- a/dgstandin/options.go
+++ b/dgstandin/options.go
@@ -64,7 +64,7 @@
 	// RetryAfter is what refusals advise. Default: DefaultRetryAfter.
 	RetryAfter time.Duration
 	// Grace is the time after ZoneOut or Drain during which new work is not
-	// counted as a violation. Default: DefaultGrace.
+	// counted as a violation. Default: DefaultGrace; negative: none.
 	Grace time.Duration
 	// HitsPerPart is the number of hits per part. Default: DefaultHitsPerPart;
 	// negative: none.
