--- /dev/null
+++ b/dgclient/operator.go
@@ -0,0 +1,149 @@
+package dgclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// ConflictError reports that the configuration has another version than the
+// change was based on. It wraps dandeliongap.ErrConflict.
+type ConflictError struct {
+	Current dandeliongap.Version // version in force
+	Given   dandeliongap.Version // version that the change was based on
+}
+
+// Error names both versions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("configuration is at version %d, change is based on version %d", e.Current, e.Given)
+}
+
+// Unwrap returns dandeliongap.ErrConflict.
+func (e *ConflictError) Unwrap() error { return dandeliongap.ErrConflict }
+
+// Status is the state of one VM: the JSON as received and the part of it that
+// every version has.
+type Status struct {
+	Raw      json.RawMessage `json:"-"`
+	Self     dandeliongap.MemberID
+	Zone     dandeliongap.ZoneName
+	Serving  bool
+	Why      string
+	Config   dandeliongap.Version
+	ZonesOut []dandeliongap.ZoneName
+	Members  []dandeliongap.MemberID
+}
+
+// operate sends an operator's call, with the token.
+func (c *Client) operate(ctx context.Context, q call) (reply, error) {
+	c.authorize(&q)
+	r := c.send(ctx, q, "")
+	if r.err != nil || r.status != fasthttp.StatusOK {
+		return r, r.failure(q)
+	}
+	return r, nil
+}
+
+func (c *Client) authorize(q *call) {
+	q.end = time.Now().Add(c.timeout)
+	q.header = append(q.header, [2]string{fasthttp.HeaderAuthorization, "Bearer " + c.token})
+}
+
+// GetConfig returns the configuration text and its version.
+func (c *Client) GetConfig(ctx context.Context) (string, dandeliongap.Version, error) {
+	r, err := c.operate(ctx, call{method: fasthttp.MethodGet, path: "/v1/config", repeatable: true})
+	if err != nil {
+		return "", 0, err
+	}
+	version, err := r.version()
+	return string(r.body), version, err
+}
+
+// ApplyConfig replaces the configuration text if its version is still ifVersion
+// (0: there is none) and returns the new version; a *ConflictError otherwise, and
+// ErrInvalid if the text fails the checks. It makes one attempt: after
+// ErrUnreachable the caller may repeat it with the same changeID.
+func (c *Client) ApplyConfig(ctx context.Context, text string, ifVersion dandeliongap.Version, changeID string) (dandeliongap.Version, error) {
+	q := call{method: fasthttp.MethodPut, path: "/v1/config", body: func() ([]byte, error) { return []byte(text), nil }, header: [][2]string{
+		{fasthttp.HeaderIfMatch, strconv.Quote(strconv.FormatUint(uint64(ifVersion), 10))},
+		{"Change-Id", changeID},
+	}}
+	r, err := c.operate(ctx, q)
+	if r.err == nil && r.status == fasthttp.StatusConflict {
+		return 0, trace.Wrap(conflict(r, ifVersion))
+	}
+	if err != nil {
+		return 0, err
+	}
+	return r.version()
+}
+
+// conflict reads both versions from a 409.
+func conflict(r reply, given dandeliongap.Version) error {
+	e := ConflictError{Given: given}
+	if err := json.Unmarshal(r.body, &e); err != nil {
+		return fmt.Errorf("change is based on version %d: %s: %w", given, r.message(), dandeliongap.ErrConflict)
+	}
+	return &e
+}
+
+// Status returns the state of one VM.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	q := call{method: fasthttp.MethodGet, path: "/v1/status", repeatable: true}
+	r, err := c.operate(ctx, q)
+	if err != nil {
+		return Status{}, err
+	}
+	return parseStatus(r)
+}
+
+// StatusAt returns the state of the VM at an address.
+func (c *Client) StatusAt(ctx context.Context, addr string) (Status, error) {
+	q := call{method: fasthttp.MethodGet, path: "/v1/status"}
+	c.authorize(&q)
+	r := c.ask(ctx, addr, q)
+	if r.err != nil || r.status != fasthttp.StatusOK {
+		return Status{}, r.failure(q)
+	}
+	return parseStatus(r)
+}
+
+// parseStatus reads the typed part of a status. Fields of another type, from
+// another version of the daemon, stay zero.
+func parseStatus(r reply) (Status, error) {
+	s := Status{Raw: r.body}
+	var other *json.UnmarshalTypeError
+	if err := json.Unmarshal(r.body, &s); err != nil && !errors.As(err, &other) {
+		return Status{}, trace.Wrap(fmt.Errorf("status from %s: %w: %w", r.addr, err, dandeliongap.ErrInvalid))
+	}
+	return s, nil
+}
+
+// Zone takes an availability zone out of service or returns it. A repeat has no
+// further effect.
+func (c *Client) Zone(ctx context.Context, name dandeliongap.ZoneName, out bool) error {
+	verb := "return"
+	if out {
+		verb = "take-out"
+	}
+	_, err := c.operate(ctx, call{method: fasthttp.MethodPost, path: "/v1/zones/" + url.PathEscape(string(name)) + "/" + verb})
+	return err
+}
+
+// version reads the ETag of a reply.
+func (r reply) version() (dandeliongap.Version, error) {
+	n, err := strconv.ParseUint(strings.Trim(r.etag, `"`), 10, 64)
+	if err != nil {
+		return 0, trace.Wrap(fmt.Errorf("ETag %q from %s: %w", r.etag, r.addr, dandeliongap.ErrUnreachable))
+	}
+	return dandeliongap.Version(n), nil
+}
--- /dev/null
+++ b/dgclient/query.go
@@ -0,0 +1,205 @@
+package dgclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/valyala/fasthttp"
+)
+
+// answerMargin is how much longer than the deadline of a request the client
+// waits, so that the tier's own report of the deadline arrives.
+const answerMargin = time.Second
+
+// Hit is one result of a search.
+type Hit struct {
+	ID    string `json:"Id"`
+	Score float64
+	Text  string
+}
+
+// SearchRequest is one search. An empty Class and a zero Deadline mean the
+// service's own.
+type SearchRequest struct {
+	Service     dandeliongap.ServiceName
+	Query       string
+	Class       string // name of a dandeliongap.Class
+	Deadline    time.Duration
+	MinCoverage float64 // 0 to 1
+}
+
+// SearchResult is the tier's answer to a search.
+type SearchResult struct {
+	ID           string
+	Outcome      dandeliongap.Outcome
+	IndexVersion dandeliongap.IndexVersion
+	Merged       int // parts of the index in the answer
+	Total        int // parts of the index version
+	Coverage     float64
+	Hits         []Hit
+	Reason       string
+	RetryAfter   time.Duration
+	Address      string // VM that was asked last
+}
+
+// ActionRequest is one request that may not be repeated.
+type ActionRequest struct {
+	Service  dandeliongap.ServiceName
+	Key      dandeliongap.IdempotencyKey
+	Body     string
+	Deadline time.Duration
+}
+
+// ActionResult is the tier's answer to an action.
+type ActionResult struct {
+	ID         string
+	Outcome    dandeliongap.Outcome
+	Body       string
+	Reason     string
+	RetryAfter time.Duration
+	Address    string // VM that was asked
+}
+
+// answer is the JSON of the tier's answers to searches and actions.
+type answer struct {
+	ID           string `json:"Id"`
+	Outcome      string
+	IndexVersion dandeliongap.IndexVersion
+	Merged       int
+	Total        int
+	Coverage     float64
+	Hits         []Hit
+	Body         string
+	Reason       string
+	RetryAfterMs int64
+}
+
+// elsewhere are the refusals that concern only the VM that was asked, so that
+// another one may serve the request.
+var elsewhere = map[string]bool{
+	dandeliongap.ReasonStopping.String(): true,
+	dandeliongap.ReasonIsolated.String(): true,
+	dandeliongap.ReasonLease.String():    true,
+}
+
+// Search runs one search. After a connection failure, or the refusal of a VM
+// that stops or is cut off, it goes to another address within the deadline. The
+// error agrees with Outcome: nil if it was answered, ErrNotRun, ErrInvalid or
+// ErrTooLarge if it did not run, ErrUnreachable if that is unknown.
+func (c *Client) Search(ctx context.Context, r SearchRequest) (SearchResult, error) {
+	q := call{method: fasthttp.MethodPost, path: "/v1/search", end: c.endOf(r.Deadline), repeatable: true}
+	q.body = func() ([]byte, error) {
+		return json.Marshal(struct {
+			Service     dandeliongap.ServiceName
+			Query       string
+			Class       string
+			DeadlineMs  int64
+			MinCoverage float64
+		}{r.Service, r.Query, r.Class, remaining(r.Deadline, q.end), r.MinCoverage})
+	}
+	avoid := ""
+	for attempt := 1; ; attempt++ {
+		a, got, outcome, err := c.run(ctx, q, avoid)
+		if outcome == dandeliongap.OutcomeNotRun && elsewhere[a.Reason] && attempt < maxAddresses && time.Now().Before(q.end) {
+			c.book.fail(got.addr)
+			avoid = got.addr
+			continue
+		}
+		return SearchResult{
+			ID: a.ID, Outcome: outcome, IndexVersion: a.IndexVersion, Merged: a.Merged, Total: a.Total,
+			Coverage: a.Coverage, Hits: a.Hits, Reason: a.Reason,
+			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond, Address: got.addr,
+		}, err
+	}
+}
+
+// Act makes one attempt of an action: it goes to another address only if no byte
+// was written. A repeat with the same key is the caller's decision and goes to
+// another address. Errors are those of Search, and ErrConflict with the outcome
+// "not run" if the key was used with another body.
+func (c *Client) Act(ctx context.Context, r ActionRequest) (ActionResult, error) {
+	q := call{method: fasthttp.MethodPost, path: "/v1/actions", end: c.endOf(r.Deadline)}
+	q.body = func() ([]byte, error) {
+		return json.Marshal(struct {
+			Service    dandeliongap.ServiceName
+			Key        dandeliongap.IdempotencyKey
+			Body       string
+			DeadlineMs int64
+		}{r.Service, r.Key, r.Body, remaining(r.Deadline, q.end)})
+	}
+	a, got, outcome, err := c.run(ctx, q, c.book.lastOf(r.Key))
+	if got.sent {
+		c.book.attempted(r.Key, got.addr)
+	}
+	return ActionResult{
+		ID: a.ID, Outcome: outcome, Body: a.Body, Reason: a.Reason,
+		RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond, Address: got.addr,
+	}, err
+}
+
+// endOf returns when the client gives up a request with a deadline.
+func (c *Client) endOf(deadline time.Duration) time.Time {
+	if deadline <= 0 {
+		return time.Now().Add(c.timeout)
+	}
+	return time.Now().Add(deadline + answerMargin)
+}
+
+// remaining returns the milliseconds left of a deadline, 0 if there is none and
+// at least 1 otherwise.
+func remaining(deadline time.Duration, end time.Time) int64 {
+	if deadline <= 0 {
+		return 0
+	}
+	return max(1, time.Until(end.Add(-answerMargin)).Milliseconds())
+}
+
+// run sends a search or action and reads its answer.
+func (c *Client) run(ctx context.Context, q call, avoid string) (answer, reply, dandeliongap.Outcome, error) {
+	r := c.send(ctx, q, avoid)
+	if r.err != nil {
+		err := r.failure(q)
+		if errors.Is(err, dandeliongap.ErrNotRun) {
+			return answer{}, r, dandeliongap.OutcomeNotRun, err
+		}
+		return answer{}, r, dandeliongap.OutcomeUnknown, err
+	}
+	var a answer
+	if err := json.Unmarshal(r.body, &a); err != nil {
+		a = answer{}
+	}
+	outcome := outcomeOf(r.status, a.Outcome)
+	if r.doubt && outcome == dandeliongap.OutcomeNotRun {
+		outcome = dandeliongap.OutcomeUnknown
+	}
+	switch outcome {
+	case dandeliongap.OutcomeAnswered:
+		return a, r, outcome, nil
+	case dandeliongap.OutcomeUnknown:
+		return a, r, outcome, r.refusal(q, dandeliongap.ErrUnreachable)
+	default:
+		return a, r, outcome, r.failure(q)
+	}
+}
+
+// outcomeOf returns the outcome that both the status and the body's own word
+// confirm; if they disagree it is unknown. Refusals for an invalid request need
+// no word.
+func outcomeOf(status int, word string) dandeliongap.Outcome {
+	switch status {
+	case fasthttp.StatusOK:
+		if word == dandeliongap.OutcomeAnswered.String() {
+			return dandeliongap.OutcomeAnswered
+		}
+	case fasthttp.StatusServiceUnavailable:
+		if word == dandeliongap.OutcomeNotRun.String() {
+			return dandeliongap.OutcomeNotRun
+		}
+	case fasthttp.StatusBadRequest, fasthttp.StatusConflict, fasthttp.StatusRequestEntityTooLarge:
+		return dandeliongap.OutcomeNotRun
+	}
+	return dandeliongap.OutcomeUnknown
+}
--- /dev/null
+++ b/dgclient/transport.go
@@ -0,0 +1,225 @@
+package dgclient
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/valyala/fasthttp"
+)
+
+// lengthIdentity is what fasthttp reports for a body that ends with the
+// connection, which cannot be told from a truncated one.
+const lengthIdentity = -2
+
+// errTruncated reports an answer whose end only the end of the connection marks.
+var errTruncated = errors.New("answer without length")
+
+// transport sends each request once over kept connections to one address.
+// fasthttp's own client repeats requests, cannot be cancelled and does not tell
+// whether a byte was written.
+type transport struct {
+	addr    string
+	maxIdle int
+	limit   int // of an answer, in bytes
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   map[*conn]struct{}
+	closed bool
+	busy   int // requests under way
+	wg     sync.WaitGroup
+}
+
+// conn is one connection. It belongs to one request at a time.
+type conn struct {
+	tcp     *net.TCPConn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	written int64 // bytes that the kernel took
+}
+
+// Write counts the bytes that the kernel took.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.tcp.Write(b)
+	c.written += int64(n)
+	return n, err
+}
+
+// quiet tells whether a free connection is open and has no byte to read.
+func (c *conn) quiet() bool {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil || c.br.Buffered() > 0 {
+		return false
+	}
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && n < 0 && errors.Is(readErr, syscall.EAGAIN)
+}
+
+// do sends a request once and reads its whole answer until end or until ctx
+// ends. It tells whether a byte of the request was written.
+func (t *transport) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, end time.Time) (sent bool, err error) {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return false, dandeliongap.ErrClosed
+	}
+	t.busy++
+	t.wg.Add(1)
+	t.mu.Unlock()
+	defer t.done()
+	c, err := t.acquire(ctx, end)
+	if err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.tcp.SetDeadline(time.Now()) })
+	before := c.written
+	err = c.exchange(req, resp, t.limit)
+	sent = c.written > before
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+	}
+	if !stop() || err != nil || resp.ConnectionClose() {
+		t.drop(c)
+		return sent, err
+	}
+	t.release(c)
+	return sent, nil
+}
+
+func (t *transport) done() {
+	t.mu.Lock()
+	t.busy--
+	t.mu.Unlock()
+	t.wg.Done()
+}
+
+func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, limit int) error {
+	if err := req.Write(c.bw); err != nil {
+		return err
+	}
+	if err := c.bw.Flush(); err != nil {
+		return err
+	}
+	if err := resp.Header.Read(c.br); err != nil {
+		return err
+	}
+	length := resp.Header.ContentLength()
+	if length == lengthIdentity {
+		return errTruncated
+	}
+	if err := resp.ReadBody(c.br, limit); err != nil {
+		return err
+	}
+	if length < 0 {
+		return resp.Header.ReadTrailer(c.br)
+	}
+	return nil
+}
+
+// acquire returns a free connection that is still open, or a new one.
+func (t *transport) acquire(ctx context.Context, end time.Time) (*conn, error) {
+	for {
+		c := t.take()
+		if c == nil {
+			return t.dial(ctx, end)
+		}
+		if c.tcp.SetDeadline(end) == nil && c.quiet() {
+			return c, nil
+		}
+		t.drop(c)
+	}
+}
+
+func (t *transport) take() *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := len(t.idle)
+	if n == 0 {
+		return nil
+	}
+	c := t.idle[n-1]
+	t.idle = t.idle[:n-1]
+	return c
+}
+
+func (t *transport) dial(ctx context.Context, end time.Time) (*conn, error) {
+	d := net.Dialer{Deadline: end}
+	nc, err := d.DialContext(ctx, "tcp", t.addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := nc.SetDeadline(end); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	c := &conn{tcp: nc.(*net.TCPConn), br: bufio.NewReader(nc)}
+	c.bw = bufio.NewWriter(c)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		_ = nc.Close()
+		return nil, dandeliongap.ErrClosed
+	}
+	t.open[c] = struct{}{}
+	return c, nil
+}
+
+func (t *transport) release(c *conn) {
+	t.mu.Lock()
+	keep := !t.closed && len(t.idle) < t.maxIdle
+	if keep {
+		t.idle = append(t.idle, c)
+	}
+	t.mu.Unlock()
+	if !keep {
+		t.drop(c)
+	}
+}
+
+func (t *transport) drop(c *conn) {
+	t.mu.Lock()
+	delete(t.open, c)
+	t.mu.Unlock()
+	_ = c.tcp.Close()
+}
+
+// closeUnused closes the transport if no request uses it.
+func (t *transport) closeUnused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy > 0 {
+		return false
+	}
+	t.closed = true
+	for _, c := range t.idle {
+		_ = c.tcp.Close()
+	}
+	t.idle = nil
+	return true
+}
+
+// close closes all connections, which ends requests under way, and waits for
+// them.
+func (t *transport) close() {
+	t.mu.Lock()
+	t.closed = true
+	t.idle = nil
+	for c := range t.open {
+		_ = c.tcp.Close()
+	}
+	t.mu.Unlock()
+	t.wg.Wait()
+}
--- a/dgplatform/transport.go
+++ b/dgplatform/transport.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -85,6 +86,9 @@
 	before := c.written
 	err = c.exchange(req, resp, t.limit)
 	sent = c.written > before
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+	}
 	if !stop() || err != nil || resp.ConnectionClose() {
 		t.drop(c)
 		return sent, err
