--- a/dgsettings/checks_test.go
+++ b/dgsettings/checks_test.go
@@ -110,6 +110,19 @@
 		Expect(found(faults)).To(Equal([]string{"limits"}))
 	})
 
+	// Guards against a percent sign in a message that formatting would replace,
+	// and against messages without bound.
+	It("print faults as they are", func() {
+		text := []byte("[deployment]\nname = a\nzones = a\nhedge extra = 5\nx = 1\n")
+		faults := parse("kelani.ini", text)
+		const first = "kelani.ini:4: hedge extra in [deployment]: \"5\" is not a number with %, such as 5%\n"
+		Expect(faults.Err().Error()).To(ContainSubstring(first))
+		Expect(dgsettings.Faults{}.Err()).To(Succeed())
+		Expect(faults.List).To(HaveLen(3))
+		Expect(faults.Head(2)).To(HaveSuffix(first + "kelani.ini: 1 more faults\n"))
+		Expect(faults.Head(3)).To(Equal(faults.String()))
+	})
+
 	// Guards against a secret that reaches a log by way of a fault or a value.
 	It("keep the operator token out of faults and prints", func() {
 		text := bytes.Replace(example("daemon.ini"), []byte("operator token ="), []byte("operator token = \xc8\x98ecret"), 1)
--- a/dgsettings/dgschema/value.go
+++ b/dgsettings/dgschema/value.go
@@ -147,7 +147,7 @@
 	return Value{List: items}, nil
 }
 
-var quantity = regexp.MustCompile(`^([+-]?[0-9]+(?:\.[0-9]+)?) ?([A-Za-z%µ]*)$`)
+var quantity = regexp.MustCompile(`^(-?[0-9]+(?:\.[0-9]+)?) ?([A-Za-z%µ]*)$`)
 
 // units maps each unit to its size in the base unit of the kind.
 var units = map[Kind]map[string]int64{
--- a/dgsettings/dgtext/fault.go
+++ b/dgsettings/dgtext/fault.go
@@ -48,13 +48,24 @@
 	return b.String()
 }
 
+// Head returns the first n lines of String and a line with the number of the
+// others, for readers that bound the size of a message: a text of one megabyte
+// can have half a million faults.
+func (f Faults) Head(n int) string {
+	if n >= len(f.List) {
+		return f.String()
+	}
+	head := Faults{File: f.File, List: f.List[:n]}
+	return fmt.Sprintf("%s%s: %d more faults\n", head, f.File, len(f.List)-n)
+}
+
 // Err returns nil if there is no fault, else an error that wraps
 // dandeliongap.ErrInvalid and whose text lists all faults.
 func (f Faults) Err() error {
 	if !f.Any() {
 		return nil
 	}
-	return trace.Wrap(dandeliongap.ErrInvalid, strings.TrimSuffix(f.String(), "\n"))
+	return trace.Wrap(dandeliongap.ErrInvalid, "%s", strings.TrimSuffix(f.String(), "\n"))
 }
 
 // Report collects the faults that one check finds. Its user adds the name of the
--- a/dgsettings/dgzone/dgzone.go
+++ b/dgsettings/dgzone/dgzone.go
@@ -22,9 +22,13 @@
 	Run:     run,
 }
 
-// run reports nothing for a replica whose value has another fault.
+// run reports nothing for a replica whose value has another fault, and nothing
+// if the deployment lists no zones at all, which the check "missing" reports.
 func run(in *dgschema.Input) []dgtext.Fault {
 	zones := dgschema.Zones(in.Document)
+	if len(zones) == 0 {
+		return nil
+	}
 	var report dgtext.Report
 	for _, service := range in.Services() {
 		for _, key := range service.Replicas() {
--- a/dgsettings/examples_test.go
+++ b/dgsettings/examples_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,6 +88,17 @@
 		Expect(stejar.Services["archive"].Partial).To(BeFalse())
 	})
 
+	// Guards against a comment, a line end or space that becomes part of a value.
+	It("mean the same with other spaces, comments and line ends", func() {
+		text := string(example("kelani.ini"))
+		text = regexp.MustCompile(`(?m)^([a-z0-9 ]+) = (.*)$`).ReplaceAllString(text, "\t$1=  $2\t ; note = 1 # x")
+		text = strings.ReplaceAll(text, "]\n", "] # note\n")
+		text = strings.ReplaceAll("\ufeff"+text, "\n", " \r\n")
+		d, faults := dgsettings.ParseDeployment("spaces", []byte(text))
+		Expect(faults.String()).To(BeEmpty())
+		Expect(d).To(Equal(deployment("kelani.ini")))
+	})
+
 	// Guards against daemon settings whose defaults differ from DefaultDaemon.
 	It("give the daemon its defaults", func() {
 		d, faults := dgsettings.ParseDaemon("daemon.ini", example("daemon.ini"))
