Bound the effect of single stragglers and idle times on the choice of replicas

One slow answer in a hundred multiplied the recent latency of its replica, so that all load moved to the other one for seconds. A sample now counts at most twice the recent latency. A replica that was silent for 10 s starts with single requests again, and hedges leave two tokens for retries.

--- a/dgfanout/body.go
+++ b/dgfanout/body.go
@@ -64,6 +64,13 @@
 }
 
 func hasDuplicate(parts []Part) bool {
+	ascending := true
+	for i := 1; i < len(parts) && ascending; i++ {
+		ascending = parts[i-1].Part < parts[i].Part
+	}
+	if ascending {
+		return false
+	}
 	ids := make([]dandeliongap.PartID, len(parts))
 	for i, p := range parts {
 		ids[i] = p.Part
--- a/dgfanout/choice.go
+++ b/dgfanout/choice.go
@@ -16,7 +16,7 @@
 const (
 	tierUsable tier = iota
 	tierProbe       // lost, the back-off has passed and no probe is under way
-	tierBusy        // never answered and has a request under way
+	tierBusy        // not known and has a request under way
 	tierSlow        // gave no answer to its last attempts
 	tierAvoid
 )
@@ -61,7 +61,7 @@
 	if now < r.slowUntil {
 		return tierSlow, refusal{}
 	}
-	if !r.known && r.out > 0 {
+	if !r.known(now) && r.out > 0 {
 		return tierBusy, refusal{}
 	}
 	return tierUsable, refusal{}
--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -15,8 +15,8 @@
 //	    wait is at most the lowest wait elsewhere plus the learned distance of
 //	    that zone. Otherwise a replica is drawn with the weight wait^-4, so that
 //	    VMs with equal, outdated marks do not all pick the same replica.
-//	R4  Trial: a replica that never answered this VM gets one request at a time
-//	    while a known one is usable. A replica with a failed connection is
+//	R4  Trial: a replica that did not answer this VM within 10 s gets one request
+//	    at a time while a known one is usable. A replica with a failed connection is
 //	    avoided for 100 ms, doubled on each further failure up to 5 s, and then
 //	    probed by one sub-request.
 //	R5  Avoidance: a replica gets nothing while it leaves or drains, its zone is
@@ -29,7 +29,8 @@
 //	R7  Retry: a failed attempt is repeated at another replica, at most 3
 //	    attempts for each shard, none while the leaf is overloaded.
 //	R8  Budget: hedges and retries of all queries take tokens from one bucket,
-//	    filled with a share of the other sub-requests sent.
+//	    filled with a share of the other sub-requests sent. Hedges leave two
+//	    tokens for retries.
 //	R9  Version gone: if no replica of a shard holds the snapshot, the whole
 //	    query is tried once more with another live snapshot. That try is outside
 //	    of R8: it happens only until R2 knows that the version is gone.
--- a/dgfanout/planner.go
+++ b/dgfanout/planner.go
@@ -25,6 +25,7 @@
 	budgetShare   = 0.05 // if the configuration names none
 	budgetInitial = 10
 	budgetMax     = 200
+	hedgeReserve  = 2 // left by hedges for retries, which decide about coverage
 )
 
 // Times for which a replica is avoided (R4, R5).
@@ -46,10 +47,16 @@
 	latencyWeight = 0.2                    // of a new sample in the recent latency of a replica
 	markFresh     = 500 * time.Millisecond // age at which the queue length of a mark counts nothing
 	limitFresh    = 2 * time.Second        // age up to which the limit of a mark counts
-	latencyFresh  = 2 * time.Second        // age from which the recent latency fades to the median of the leaf
-	zoneWindow    = 10 * time.Second       // window of the lowest latency of a zone
-	refusalWeight = 1.0 / 16               // of one answer in the share of refusals
-	overloadShare = 0.25                   // share of refusals from which a leaf is overloaded
+	latencyFresh  = 500 * time.Millisecond // age from which the recent latency fades to the median of the leaf
+	// latencyRise bounds a sample to a multiple of the recent latency. Without
+	// it, one straggler in 100 would move all load to the other replica in turn.
+	latencyRise = 2
+	// knownFor is the age of the last answer from which a replica counts as
+	// unknown, so that a zone that returns does not get its full share at once.
+	knownFor      = 10 * time.Second
+	zoneWindow    = 10 * time.Second // window of the lowest latency of a zone
+	refusalWeight = 1.0 / 16         // of one answer in the share of refusals
+	overloadShare = 0.25             // share of refusals from which a leaf is overloaded
 )
 
 // Planner is what a VM learns over all its queries. The zero value is ready for
@@ -123,9 +130,9 @@
 
 // replica is what the planner learned about a replica.
 type replica struct {
-	out       int // own outstanding sub-requests
-	known     bool
-	latency   time.Duration // recent
+	out       int           // own outstanding sub-requests
+	latency   time.Duration // recent; 0: never answered
+	answered  dandeliongap.Instant
 	latencyAt dandeliongap.Instant
 	mark      dandeliongap.Mark
 	markAt    dandeliongap.Instant
@@ -162,14 +169,19 @@
 // observe takes the latency of a whole answer.
 func (r *replica) observe(now dandeliongap.Instant, d time.Duration) {
 	d = max(d, time.Microsecond)
-	if !r.known {
+	if r.latency == 0 {
 		r.latency = d
 	}
-	r.known = true
+	d = min(d, latencyRise*r.latency)
 	r.latency += time.Duration(float64(d-r.latency) * latencyWeight)
 	r.latencyAt = now
 }
 
+// known reports whether the replica answered recently enough for a full share.
+func (r *replica) known(now dandeliongap.Instant) bool {
+	return r.latency > 0 && now.Sub(r.answered) < knownFor
+}
+
 // alive clears what an answer to an attempt that was sent at the given instant
 // disproves. An answer from before the failure proves nothing.
 func (r *replica) alive(sent dandeliongap.Instant) {
@@ -195,7 +207,7 @@
 
 // miss takes an attempt that was cancelled late, without an answer.
 func (r *replica) miss(now dandeliongap.Instant, waited time.Duration) {
-	if r.known && waited > r.latency {
+	if r.latency > 0 && waited > r.latency {
 		r.observe(now, waited)
 	}
 	r.misses++
@@ -264,7 +276,7 @@
 // recent returns the recent latency, which fades to the typical one of the leaf
 // so that a replica that was slow long ago is tried again.
 func (r *replica) recent(now dandeliongap.Instant, typical time.Duration) float64 {
-	if !r.known {
+	if r.latency == 0 {
 		return float64(typical)
 	}
 	age := now.Sub(r.latencyAt)
@@ -278,9 +290,9 @@
 	return (float64(r.out) + r.queued(now) + 1) * r.recent(now, typical) / r.limit(now, c)
 }
 
-// take takes one token for an extra sub-request (R8).
-func (p *Planner) take() bool {
-	if p.tokens < 1 {
+// take takes one token for an extra sub-request if the reserve is left (R8).
+func (p *Planner) take(reserve float64) bool {
+	if p.tokens < 1+reserve {
 		return false
 	}
 	p.tokens--
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -266,7 +266,7 @@
 	for _, a := range assigned {
 		r := rule
 		if r == 0 {
-			r = q.firstRule(a.c)
+			r = q.firstRule(now, a.c)
 		}
 		q.shards[a.shard].last = -1
 		dst = p.send(now, q, a.shard, a.c, r, dst)
@@ -277,13 +277,13 @@
 	return dst
 }
 
-func (q *Query) firstRule(c *candidate) Rule {
+func (q *Query) firstRule(now dandeliongap.Instant, c *candidate) Rule {
 	switch {
 	case q.req.Plain:
 		return RulePlain
 	case q.req.Action:
 		return RuleAction
-	case c.learned.lost || !c.learned.known:
+	case c.learned.lost || !c.learned.known(now):
 		return RuleTrial
 	default:
 		return RuleChoice
@@ -449,6 +449,7 @@
 	if ans.Status == dandeliongap.SubAnswered {
 		d := now.Sub(a.sent)
 		c.learned.observe(now, d)
+		c.learned.answered = now
 		c.leaf.observe(d)
 		c.zone.observe(now, d)
 	}
@@ -536,7 +537,7 @@
 	if c == nil {
 		return p.exhaust(now, v, q, i, rng, dst)
 	}
-	if p.take() {
+	if p.take(0) {
 		rule := RuleRetry
 		if q.req.Action {
 			rule = RuleAction
@@ -697,7 +698,7 @@
 	}
 	w := q.want(q.snapshot.version, true)
 	c, _ := p.choose(now, l, &w, func(c *candidate) bool { return q.tried(s, c) }, rng)
-	if c == nil || c.learned.busy(now) || !p.take() {
+	if c == nil || c.learned.busy(now) || !p.take(hedgeReserve) {
 		return dst
 	}
 	return p.send(now, q, i, c, RuleHedge, dst)
@@ -744,5 +745,9 @@
 			res.Reason = dandeliongap.ReasonCoverage
 		}
 	}
+	if res.Reason == dandeliongap.ReasonNone && t.merged < t.snapshot.parts {
+		// An answer or the catalog listed fewer parts than expected.
+		res.Reason = dandeliongap.ReasonCoverage
+	}
 	return res
 }
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -310,6 +310,146 @@
 		Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeNotRun), HaveField("Reason", dg.ReasonOverload), HaveField("RetryAfter", time.Second)))
 	})
 
+	It("R4 takes failures and answers from before the loss as old news (guards against a back-off that jumps or ends too early)", func() {
+		r := newRig(newView(1, 1))
+		early := r.start(dgfanout.Request{})[0]
+		earlyQuery := r.q
+		failing := sends(r.start(dgfanout.Request{}))
+		r.now += ms
+		r.refuse(failing[0], dg.SubUnknown, dg.ReasonConnection)
+		r.q = earlyQuery
+		r.answer(r.ok(early))
+		Expect(sends(r.start(dgfanout.Request{}))).To(BeEmpty(), "an early answer does not end the back-off")
+		r.now += 100 * ms
+		probe := sends(r.start(dgfanout.Request{}))
+		Expect(probe).To(HaveLen(1))
+		r.answer(r.ok(probe[0]))
+		r.q = earlyQuery
+		one, two := sends(r.start(dgfanout.Request{})), r.q
+		next := sends(r.start(dgfanout.Request{}))
+		r.now += ms
+		r.refuse(next[0], dg.SubUnknown, dg.ReasonConnection)
+		r.q = two
+		r.refuse(one[0], dg.SubUnknown, dg.ReasonConnection)
+		r.now += 100 * ms
+		Expect(sends(r.start(dgfanout.Request{}))).To(HaveLen(1), "failures of one moment count once")
+	})
+
+	It("R4 leaves probes and silent replicas to requests that can afford them (guards against urgent requests that wait for a dead server)", func() {
+		r := newRig(newView(1, 2)).warm(10 * time.Millisecond)
+		lost := sends(r.start(dgfanout.Request{}))[0]
+		r.refuse(lost, dg.SubUnknown, dg.ReasonConnection)
+		r.now += 200 * ms
+		Expect(sends(r.start(dgfanout.Request{Class: dg.ClassUrgent}))[0].Replica).NotTo(Equal(lost.Replica))
+		Expect(sends(r.start(dgfanout.Request{}))[0].Replica).To(Equal(lost.Replica))
+
+		r = newRig(newView(1, 2)).warm(10 * time.Millisecond)
+		n := 0
+		for range 40 {
+			for _, a := range append(sends(r.start(dgfanout.Request{})), r.tickTo(r.now+60*ms)...) {
+				if a.Kind != dgfanout.Send {
+					continue
+				}
+				if a.Owner == "ma" {
+					n++ // it never answers
+				} else if !r.q.Done() {
+					r.answer(r.ok(a))
+				}
+			}
+			r.tickTo(r.now + 300*ms)
+		}
+		Expect(n).To(BeNumerically("<", 15))
+	})
+
+	It("R3 forgets old latencies and marks (guards against a replica that is left alone for good)", func() {
+		r := newRig(newView(1, 3)).warm(10 * time.Millisecond)
+		share := func() (n int) {
+			for range 100 {
+				a := sends(r.start(dgfanout.Request{}))[0]
+				if a.Replica == "l000/0" {
+					n++
+				}
+				r.now += 10 * ms
+				r.answer(r.ok(a))
+			}
+			return n
+		}
+		cold := dgfanout.Answer{Replica: "l000/0", Status: dg.SubAnswered, Mark: dg.Mark{Limit: 1, Cold: true}}
+		r.answer(cold)
+		Expect(share()).To(BeNumerically("<", 25))
+		r.now += 3000 * ms
+		Expect(share()).To(BeNumerically(">", 25))
+	})
+
+	It("R6 keeps the delay near the usual latency (guards against stragglers that set it, and hedges that lower it)", func() {
+		r := newRig(newView(1, 2))
+		for i := range 600 {
+			acts := sends(r.start(dgfanout.Request{}))
+			if i%20 == 0 {
+				acts = sends(r.tickTo(r.q.Next()))
+			}
+			r.tickTo(r.now + 10*ms)
+			r.okAll(acts)
+		}
+		r.start(dgfanout.Request{})
+		Expect(r.q.Next() - r.now).To(And(BeNumerically(">", 15*ms), BeNumerically("<=", 70*ms)))
+	})
+
+	DescribeTable("R6 sends no hedge (guards against new work that may not start and queues that grow)",
+		func(change func(r *rig, other dg.ReplicaID)) {
+			r := newRig(newView(1, 2)).warm(10 * time.Millisecond)
+			a := sends(r.start(dgfanout.Request{}))[0]
+			next := *r.v
+			r.v = &next
+			change(r, map[dg.ReplicaID]dg.ReplicaID{"l000/0": "l000/1", "l000/1": "l000/0"}[a.Replica])
+			Expect(sends(r.tickTo(r.now + 100*ms))).To(BeEmpty())
+		},
+		Entry("not serving", func(r *rig, _ dg.ReplicaID) { r.v.Serving = false }),
+		Entry("queue at the other replica", func(r *rig, other dg.ReplicaID) {
+			r.answer(dgfanout.Answer{Replica: other, Status: dg.SubAnswered, Mark: dg.Mark{Limit: 3, Queued: 3}})
+		}),
+	)
+
+	DescribeTable("R9 starts no second try (guards against tries that cannot help)",
+		func(change func(*rig), again int) {
+			r := newRig(catalog(newView(1, 1), 6, 7, 8))
+			acts := sends(r.start(dgfanout.Request{}))
+			next := *r.v
+			r.v = &next
+			change(r)
+			acts = sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonVersionGone))
+			Expect(acts).To(HaveLen(again))
+			if again > 0 {
+				Expect(sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonVersionGone))).To(BeEmpty(), "no third try")
+			}
+			Expect(r.q.Result().Outcome).To(Equal(dg.OutcomeNotRun))
+		},
+		Entry("useful", func(*rig) {}, 1),
+		Entry("not serving", func(r *rig) { r.v.Serving = false }, 0),
+		Entry("too late", func(r *rig) { r.now += 280 * ms }, 0),
+		Entry("no replica", func(r *rig) { r.v.ZonesOut = map[dg.ZoneName]bool{"a": true} }, 0),
+	)
+
+	It("R2 sees before the start that a shard lacks the version (guards against a try that must fail)", func() {
+		r := newRig(catalog(newView(1, 2), 7, 8))
+		acts := sends(r.start(dgfanout.Request{}))
+		acts = sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonVersionGone))
+		r.refuse(acts[0], dg.SubUnknown, dg.ReasonConnection)
+		r.now += 200 * ms
+		Expect(sends(r.start(dgfanout.Request{}))[0].Replica).To(Equal(acts[0].Replica), "the other one lacks version 8")
+		acts = sends(r.start(dgfanout.Request{}))
+		Expect(acts).To(HaveExactElements(HaveField("Index", dg.IndexVersion(7))))
+	})
+
+	It("R7 tries the replica again under a new owner (guards against shards lost during a handover)", func() {
+		r := newRig(newView(1, 1))
+		a := sends(r.start(dgfanout.Request{}))[0]
+		next := *r.v
+		next.Placement = map[dg.ReplicaID]dg.Placement{a.Replica: {Owner: "mb"}}
+		r.v = &next
+		Expect(r.refuse(a, dg.SubNotRun, dg.ReasonNotOwner)).To(HaveExactElements(HaveField("Owner", dg.MemberID("mb"))))
+	})
+
 	It("R14 sends an action again only after a refusal, never as a hedge (guards against duplicate dispatches)", func() {
 		r := newRig(newView(3, 2))
 		req := dgfanout.Request{Action: true, Key: "k"}
