Keep a grant that arrives before the configuration of its replica

Cause: objects are relayed one by one, so that a placement table can be adopted before the configuration that it was planned with. The grant was dropped and the replica stayed without a sender until its next move.

--- a/dgnode/adopt.go
+++ b/dgnode/adopt.go
@@ -69,6 +69,7 @@
 		return fmt.Errorf("configuration: %w: %s", dandeliongap.ErrInvalid, faults)
 	}
 	c.deployment = parsed
+	c.grantWaiting()
 	return nil
 }
 
--- a/dgnode/change.go
+++ b/dgnode/change.go
@@ -27,6 +27,8 @@
 const (
 	// changeLimit bounds the attempts of one change.
 	changeLimit = 5 * time.Second
+	// maxFaults is the number of faults that an answer names.
+	maxFaults = 50
 	// maxRecent is the number of change ids that an object remembers.
 	maxRecent = 32
 )
@@ -62,7 +64,7 @@
 func (c *control) apply(ctx context.Context, text string, given dandeliongap.Version, id string) (dandeliongap.Version, error) {
 	_, faults := dgsettings.ParseDeployment("configuration", []byte(text))
 	if faults.Any() {
-		return 0, fmt.Errorf("%w:\n%s", dandeliongap.ErrInvalid, faults)
+		return 0, fmt.Errorf("%w:\n%s", dandeliongap.ErrInvalid, faults.Head(maxFaults))
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeLimit)
 	defer cancel()
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -76,6 +76,7 @@
 	nextHealth dandeliongap.Instant
 	pulling    map[dandeliongap.MemberID]bool
 	replies    map[releaseKey][]chan dgplacement.Action
+	waiting    map[dandeliongap.ReplicaID]dgplacement.Action // grants that wait for the configuration
 }
 
 // releaseKey identifies a call of Release that waits for its answer.
@@ -94,6 +95,7 @@
 	c.zonesOut = map[dandeliongap.ZoneName]bool{}
 	c.pulling = map[dandeliongap.MemberID]bool{}
 	c.replies = map[releaseKey][]chan dgplacement.Action{}
+	c.waiting = map[dandeliongap.ReplicaID]dgplacement.Action{}
 	c.member = dgmember.New(now, c.self, c.rng)
 	c.relay = dgrelay.NewRelay(now, c.self.ID, func(id dandeliongap.MemberID) bool {
 		return c.member.Heard(c.clock.now(), id)
--- a/dgnode/owners.go
+++ b/dgnode/owners.go
@@ -64,21 +64,39 @@
 	})
 }
 
-// grant lets the gate of a replica send under an epoch.
+// grant lets the gate of a replica send under an epoch. A placement table can
+// arrive before the configuration that names its replicas; then the grant waits
+// for it.
 func (c *control) grant(a dgplacement.Action) {
-	if c.deployment == nil {
-		return
-	}
-	replica := c.deployment.Replica(a.Replica)
+	replica := c.replica(a.Replica)
 	if replica == nil {
+		c.waiting[a.Replica] = a
 		return
 	}
+	delete(c.waiting, a.Replica)
 	g := c.gates.configure(replica, c.zonesOut[replica.Zone])
 	g.grant(a.Epoch, dggate.Handover{Limit: a.State.Limit, Known: a.Known, Draining: a.State.Draining})
 }
 
+// replica returns a replica of the configuration in force, nil if there is none
+// of that id.
+func (c *control) replica(id dandeliongap.ReplicaID) *dandeliongap.Replica {
+	if c.deployment == nil {
+		return nil
+	}
+	return c.deployment.Replica(id)
+}
+
+// grantWaiting carries out the grants that waited for the configuration.
+func (c *control) grantWaiting() {
+	for _, a := range c.waiting {
+		c.grant(a)
+	}
+}
+
 // revoke stops the gate of a replica; drained follows.
 func (c *control) revoke(a dgplacement.Action) {
+	delete(c.waiting, a.Replica)
 	if g := c.gates.get(a.Replica); g != nil {
 		g.revoke(a.Epoch)
 		return
--- a/view.go
+++ b/view.go
@@ -1,6 +1,9 @@
 package dandeliongap
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // ServiceKind tells how a service is used.
 type ServiceKind uint8
@@ -47,13 +50,17 @@
 	Services   map[ServiceName]*Service
 }
 
-// Replica returns the replica with the given id, or nil.
+// Replica returns the replica with the given id, or nil. The id begins with the
+// name of its service.
 func (d *Deployment) Replica(id ReplicaID) *Replica {
-	for _, s := range d.Services {
-		for i := range s.Replicas {
-			if s.Replicas[i].ID == id {
-				return &s.Replicas[i]
-			}
+	name, _, _ := strings.Cut(string(id), "/")
+	s := d.Services[ServiceName(name)]
+	if s == nil {
+		return nil
+	}
+	for i := range s.Replicas {
+		if s.Replicas[i].ID == id {
+			return &s.Replicas[i]
 		}
 	}
 	return nil
