--- a/dgmember/limits.go
+++ b/dgmember/limits.go
@@ -21,10 +21,10 @@
 	retryEvery   = time.Second // failed calls about members
 	joinEvery    = time.Second
 	joinAttempts = 3
-	smallFleet   = 12  // VMs that hear of each other within 3 s
-	largeFleet   = 100 // VMs up to which W is short
-	unlistedRank = 3   // longest wait of a VM that is not listed, in steps of RankStep
-	maxBefore    = 8   // earlier lists that one list may name
+	smallFleet   = 12    // VMs that hear of each other within 3 s
+	largeFleet   = 100   // VMs up to which W is short
+	unlistedRank = 3     // longest wait of a VM that is not listed, in steps of RankStep
+	maxBefore    = 8     // earlier lists that one list may name
 	maxDropped   = 10000 // ids of dropped members that are remembered
 	attemptsKept = 8
 
@@ -40,9 +40,15 @@
 	return 8 * time.Second
 }
 
-// Interval returns the time between two lease renewals for n VMs.
+// Interval returns the time between two lease renewals for n VMs. Above 100 VMs it
+// is at least 4 s: with a TTL of 6 s many leases would end before the news of an
+// outage have reached a majority, and M2 could not begin.
 func Interval(n int) time.Duration {
-	return max(2*time.Second, time.Duration(n)*time.Second/100)
+	least := 2 * time.Second
+	if n > largeFleet {
+		least = 4 * time.Second
+	}
+	return max(least, time.Duration(n)*time.Second/100)
 }
 
 // TTL returns how long a renewal is valid for n VMs.
