--- /dev/null
+++ b/dgrelay/relay_test.go
@@ -0,0 +1,242 @@
+package dgrelay_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgrelay"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgrelay")
+}
+
+func object(n dandeliongap.ObjectName, v dandeliongap.Version, size int) dandeliongap.Object {
+	return dandeliongap.Object{Name: n, Version: v, Body: make([]byte, size)}
+}
+
+// Guards against an object that reverts when versions arrive in any order (C1).
+func TestSetNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s dgrelay.Set
+		var newest dandeliongap.Version
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(0, 20)).Draw(t, "versions") {
+			v := dandeliongap.Version(v)
+			o := dandeliongap.Object{Name: dgrelay.Zones, Version: v, Deleted: v%3 == 0}
+			if s.Adopt(0, o) != (v > newest) {
+				t.Fatalf("version %d after %d", v, newest)
+			}
+			newest = max(newest, v)
+			if o, _ := s.Get(dgrelay.Zones); o.Version != newest {
+				t.Fatalf("holds %d instead of %d", o.Version, newest)
+			}
+		}
+	})
+}
+
+var _ = Describe("set", func() {
+	It("C1: takes an object that is missing from a list for deleted, unless the list is older", func() {
+		var s dgrelay.Set
+		s.Adopt(0, object(dgrelay.Zones, 5, 1))
+		Expect(s.AdoptList(0, nil, 4)).To(BeEmpty())
+		Expect(s.AdoptList(0, nil, 6)).To(Equal([]dandeliongap.ObjectName{dgrelay.Zones}))
+		o, _ := s.Get(dgrelay.Zones)
+		Expect(o.Deleted).To(BeTrue())
+		Expect(s.Adopt(0, object(dgrelay.Zones, 5, 1))).To(BeFalse())
+		Expect(s.Adopt(0, object("leases/x", 9, 1))).To(BeFalse())
+	})
+	It("sends only what is newer, bounded, and always something", func() {
+		var s, other dgrelay.Set
+		for i, n := range []dandeliongap.ObjectName{dgrelay.Deployment, dgrelay.Placement, dgrelay.Members} {
+			s.Adopt(0, object(n, dandeliongap.Version(i+1), 100))
+		}
+		messages := 0
+		for newer := s.Newer(nil, 150); len(newer) > 0; newer = s.Newer(other.Digest(), 150) {
+			Expect(newer).To(HaveLen(1))
+			Expect(other.Adopt(0, newer[0])).To(BeTrue())
+			messages++
+		}
+		Expect(messages).To(Equal(3))
+	})
+})
+
+var _ = Describe("relay", func() {
+	var silent map[dandeliongap.MemberID]bool
+	rnd := rand.New(rand.NewPCG(1, 1))
+	ids := []dandeliongap.MemberID{"a", "b", "c", "d", "e", "f"}
+	list := func(n int) (ms []dandeliongap.Member) {
+		for _, id := range ids[:n] {
+			ms = append(ms, dandeliongap.Member{ID: id})
+		}
+		return ms
+	}
+	relay := func(self dandeliongap.MemberID) *dgrelay.Relay {
+		r := dgrelay.NewRelay(0, self, func(id dandeliongap.MemberID) bool { return !silent[id] })
+		r.Members(list(6))
+		return r
+	}
+	BeforeEach(func() { silent = map[dandeliongap.MemberID]bool{} })
+
+	It("C2: pushes an adopted object to three different members", func() {
+		as := relay("a").Adopted(rnd, nil)
+		Expect(as).To(HaveLen(3))
+		seen := map[dandeliongap.MemberID]bool{"a": true}
+		for _, a := range as {
+			Expect(seen[a.Member]).To(BeFalse())
+			seen[a.Member] = true
+		}
+	})
+	It("C3: reaches every member once a round, and a seed while it knows none", func() {
+		r := relay("a")
+		seen := map[dandeliongap.MemberID]int{}
+		for now := dandeliongap.Instant(0); len(seen) < 5 || seen["b"] < 3; now = r.Next() {
+			r.PeerAnswered(now)
+			for _, a := range r.Tick(now, rnd, nil) {
+				if a.Kind == dgrelay.KindExchange {
+					seen[a.Member]++
+				}
+			}
+		}
+		for _, n := range seen {
+			Expect(n).To(BeNumerically("~", 3, 1))
+		}
+		alone := dgrelay.NewRelay(0, "z", func(dandeliongap.MemberID) bool { return true })
+		Expect(alone.Tick(0, rnd, nil)[0]).To(Equal(dgrelay.Action{Kind: dgrelay.KindExchange, Rule: dgrelay.C3}))
+	})
+	It("C4: the three lowest ranks that are heard of watch, after a list that shows deletions", func() {
+		Expect(relay("c").Watches()).To(BeTrue())
+		Expect(relay("d").Watches()).To(BeFalse())
+		silent["a"] = true
+		Expect(relay("d").Watches()).To(BeTrue())
+		r := relay("b")
+		as := r.Tick(0, rnd, nil)
+		Expect(as[1].Kind).To(Equal(dgrelay.KindRead))
+		Expect(r.Tick(time10, rnd, nil)).To(HaveLen(1), "one call at a time")
+		r.PlatformAnswered(time10, 7)
+		as = r.Tick(2*time10, rnd, nil)
+		Expect(as[len(as)-1]).To(Equal(dgrelay.Action{Kind: dgrelay.KindWatch, Rule: dgrelay.C4, Version: 7}))
+	})
+	It("C5: others read the platform only when peers are silent, with growing back-off", func() {
+		r := relay("f")
+		calls := func(from, to dandeliongap.Instant, peers bool) (n int) {
+			for now := from; now < to; now = max(r.Next(), now.Add(time.Millisecond)) {
+				if peers {
+					r.PeerAnswered(now)
+				}
+				for _, a := range r.Tick(now, rnd, nil) {
+					if a.Kind != dgrelay.KindExchange {
+						n++
+						r.PlatformFailed(now, rnd)
+					}
+				}
+			}
+			return n
+		}
+		Expect(calls(0, time10, true)).To(BeZero())
+		Expect(calls(time10, 2*time10, false)).To(BeNumerically(">", 2))
+		Expect(calls(20*time10, 40*time10, false)).To(BeNumerically("<", 40))
+	})
+})
+
+const time10 = dandeliongap.Instant(10 * time.Second)
+
+func sampleList() dgrelay.List {
+	l := dgrelay.List{Before: [][]dandeliongap.VMName{{"vm1", "vm2"}}, Write: "w1"}
+	for _, id := range []dandeliongap.MemberID{"vm1-a", "vm2-b"} {
+		l.Members = append(l.Members, dandeliongap.Member{
+			ID: id, VM: "vm1", Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", State: dandeliongap.MemberLeaving,
+		})
+	}
+	dgrelay.SortByRank(l.Members)
+	return l
+}
+
+func sampleTable() dgrelay.Table {
+	return dgrelay.Table{Members: 3, Config: 4, Rows: []dandeliongap.Placement{
+		{Replica: "a/0", Owner: "vm1-a", Epoch: 2, Former: []dandeliongap.MemberID{"vm2-b"}}, {Replica: "b/0", Epoch: 1},
+	}}
+}
+
+// fuzz checks that a decoder refuses with ErrInvalid or returns a value that
+// encodes and decodes to itself.
+func fuzz[T any](f *testing.F, seed []byte, decode func([]byte) (T, error), encode func(T) ([]byte, error)) {
+	f.Add(seed)
+	for _, bad := range []string{"", "{}", "null", `{"Out":["b","a"]}`, `{"Rows":[{}]}`, `{"Members":[{}]}`, `{"Other":1}`, "{} {}"} {
+		f.Add([]byte(bad))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		v, err := decode(body)
+		if err != nil {
+			if !errors.Is(err, dandeliongap.ErrInvalid) {
+				t.Fatalf("error %v is not ErrInvalid", err)
+			}
+			return
+		}
+		b, err := encode(v)
+		if errors.Is(err, dandeliongap.ErrTooLarge) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b2, _ := encode(again); string(b2) != string(b) {
+			t.Fatalf("%s became %s", b, b2)
+		}
+	})
+}
+
+func FuzzDecodeList(f *testing.F) {
+	b, _ := dgrelay.EncodeList(sampleList())
+	fuzz(f, b, dgrelay.DecodeList, dgrelay.EncodeList)
+}
+
+func FuzzDecodeTable(f *testing.F) {
+	b, _ := dgrelay.EncodeTable(sampleTable())
+	fuzz(f, b, dgrelay.DecodeTable, dgrelay.EncodeTable)
+}
+
+func FuzzDecodeZones(f *testing.F) {
+	b, _ := dgrelay.EncodeZones(dgrelay.ZonesOut{Out: []dandeliongap.ZoneName{"a", "b"}})
+	fuzz(f, b, dgrelay.DecodeZones, dgrelay.EncodeZones)
+}
+
+var _ = Describe("bodies", func() {
+	It("come back as they were written", func() {
+		b, err := dgrelay.EncodeList(sampleList())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dgrelay.DecodeList(b)).To(Equal(sampleList()))
+		b, err = dgrelay.EncodeTable(sampleTable())
+		Expect(err).NotTo(HaveOccurred())
+		t, err := dgrelay.DecodeTable(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reflect.DeepEqual(t, sampleTable())).To(BeTrue())
+	})
+	DescribeTable("are refused as a whole when a part is wrong", func(decode func() error) {
+		Expect(decode()).To(MatchError(dandeliongap.ErrInvalid))
+	},
+		Entry("unknown field", func() error { _, err := dgrelay.DecodeZones([]byte(`{"Outt":[]}`)); return err }),
+		Entry("data after the value", func() error { _, err := dgrelay.DecodeZones([]byte(`{} x`)); return err }),
+		Entry("row listed twice", func() error {
+			_, err := dgrelay.DecodeTable([]byte(`{"Rows":[{"Replica":"a","Epoch":1},{"Replica":"a","Epoch":2}]}`))
+			return err
+		}),
+		Entry("epoch 0", func() error { _, err := dgrelay.DecodeTable([]byte(`{"Rows":[{"Replica":"a"}]}`)); return err }),
+		Entry("unknown state", func() error {
+			_, err := dgrelay.DecodeList([]byte(`{"Members":[{"ID":"a","State":"up"}]}`))
+			return err
+		}),
+	)
+})
