--- a/dgmember/limits.go
+++ b/dgmember/limits.go
@@ -40,9 +40,15 @@
 	return 8 * time.Second
 }
 
-// Interval returns the time between two lease renewals for n VMs.
+// Interval returns the time between two lease renewals for n VMs. Above 100 VMs it
+// is at least 4 s: with a TTL of 6 s many leases would end before the news of an
+// outage have reached a majority, and M2 could not begin.
 func Interval(n int) time.Duration {
-	return max(2*time.Second, time.Duration(n)*time.Second/100)
+	least := 2 * time.Second
+	if n > largeFleet {
+		least = 4 * time.Second
+	}
+	return max(least, time.Duration(n)*time.Second/100)
 }
 
 // TTL returns how long a renewal is valid for n VMs.
