--- a/dgdaemon/daemon.go
+++ b/dgdaemon/daemon.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "log level %q", s.LogLevel)
 	}
-	l := log.NewWithOptions(out, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, Level: level})
+	l := log.NewWithOptions(out, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: dgnode.LogTime, Level: level})
 	return l.With("VM", s.VM), nil
 }
 
--- a/dgdemo/cluster.go
+++ b/dgdemo/cluster.go
@@ -164,7 +164,7 @@
 		return errors.Join(err, callers.Close(), peers.Close())
 	}
 	v.backend = dgbackend.New(dgbackend.Options{})
-	logger := log.NewWithOptions(c.options.Log, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, Level: c.level()})
+	logger := log.NewWithOptions(c.options.Log, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: dgnode.LogTime, Level: c.level()})
 	v.node, err = dgnode.Start(dgnode.Options{
 		Settings:       s,
 		Store:          v.store,
--- a/dgnode/entry.go
+++ b/dgnode/entry.go
@@ -51,12 +51,14 @@
 	view *dandeliongap.View
 	q    *dgfanout.Query
 
+	started dandeliongap.Instant
+
 	actions []dgfanout.Action
 	spare   []dgfanout.Answer
 }
 
 func (d *drive) run(ctx context.Context) dgfanout.Result {
-	d.view = d.e.view.Load()
+	d.started = d.e.clock.now()
 	d.decide(func(now dandeliongap.Instant) {
 		d.q, d.actions = d.e.planner.Start(now, d.view, d.req, d.e.rng, d.actions)
 	})
@@ -187,7 +189,7 @@
 	if a.Kind == dgfanout.Finish {
 		r := d.q.Result()
 		d.e.log.Info("finish", "Rule", a.Rule, "Query", d.req.Number, "Service", d.req.Service, "Class", d.req.Class,
-			"Outcome", r.Outcome, "Reason", r.Reason, "Index", r.Index, "Merged", r.Merged, "Total", r.Total)
+			"Outcome", r.Outcome, "Reason", r.Reason, "Index", r.Index, "Merged", r.Merged, "Total", r.Total, "TookMs", d.e.clock.now().Sub(d.started).Milliseconds())
 		return
 	}
 	d.e.log.Info("routing", "Rule", a.Rule, "Choice", a.Kind, "Request", a.ID, "Replica", a.Replica,
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -36,6 +36,10 @@
 	"golang.org/x/net/netutil"
 )
 
+// LogTime is the time format of log lines. Milliseconds tell the order of the
+// decisions of one query.
+const LogTime = "2006-01-02T15:04:05.000Z07:00"
+
 // Options are what a Node is built from. Settings, Store, Backend and Log are
 // required.
 type Options struct {
