--- a/dggate/api.go
+++ b/dggate/api.go
@@ -46,6 +46,11 @@
 //     of the time before their deadline for waiting.
 //   - G14: Cancel refuses a queued request with ReasonCancelled. For a request in
 //     flight it asks the driver, once, to cancel it at the backend server.
+//   - G15: Under overload, while urgent requests arrive, dispatches of other
+//     classes keep a minimum distance, so that the slots become free one after
+//     the other and an urgent request waits a shorter time for the first one.
+//     Nothing is reserved for urgent requests: keeping one slot of three free
+//     cost 31% of the goodput at 5% urgent requests, pacing 3%.
 package dggate
 
 import (
@@ -79,6 +84,7 @@
 	RuleDeadline
 	RuleBound
 	RuleCancel
+	RulePace
 )
 
 // String returns the name used in log lines, such as "G4"; empty for RuleNone.
@@ -117,6 +123,53 @@
 	}
 }
 
+// Limits and weights of the rules.
+const (
+	// RampAnswers is the number of good answers that raise the limit by one slot.
+	RampAnswers = 8
+	// SlowFactor is the multiple of the normal latency from which an answer is
+	// slow. One answer in a hundred may be a straggler, so only SlowAnswers slow
+	// ones in a row count as a cold start.
+	SlowFactor  = 5
+	SlowAnswers = 3
+	// LostFailures is the number of connection failures in a row after which a
+	// replica is lost.
+	LostFailures = 3
+	// TrialBackoff and TrialBackoffMax bound the time between trial requests.
+	TrialBackoff    = 50 * time.Millisecond
+	TrialBackoffMax = 5 * time.Second
+	// ShedPause is the pause after a shed refusal without Retry-After, and
+	// ShedPauseMax the longest that is obeyed.
+	ShedPause    = 50 * time.Millisecond
+	ShedPauseMax = time.Minute
+	// DrainHold is the time for which the sign "draining" of a response outweighs
+	// a health endpoint that never reported it, because that endpoint lags.
+	DrainHold = 30 * time.Second
+	// ArchiveEvery gives archive requests one dispatch in this number.
+	ArchiveEvery = 10
+	// QueuePerSlot bounds each queue, in requests for each slot.
+	QueuePerSlot = 64
+	// waitShare is the part of the spare time before its deadline that an
+	// ordinary or archive request may wait.
+	waitShare = 0.5
+	// devFactor is the number of mean deviations of the service time that a
+	// request which has to wait must have to spare.
+	devFactor = 2
+	// paceShare is the least distance of paced dispatches, as a part of the mean
+	// distance at full load. A refusal by prediction starts the pacing for
+	// paceMemory service times, an urgent request for urgentMemory ones.
+	paceShare    = 0.6
+	paceMemory   = 8
+	urgentMemory = 100
+	// learnWindow is the number of answers over which latencies are averaged.
+	learnWindow = 32
+	// workOutlier and normalOutlier cap the weight of one answer in the service
+	// time and in the normal latency, in multiples of the average. The normal
+	// latency follows slowly, so that a cold start does not become normal.
+	workOutlier   = 8
+	normalOutlier = 2
+)
+
 // Action is one decision.
 type Action struct {
 	Kind       ActionKind
