--- a/dgfanout/body.go
+++ b/dgfanout/body.go
@@ -85,8 +85,9 @@
 	var top []Hit
 	for i := range accepted {
 		a := &accepted[i]
-		for _, p := range a.Body.Parts {
-			if slices.Contains(a.Parts, p.Part) {
+		for k, p := range a.Body.Parts {
+			// The parts usually stand in the same order.
+			if k < len(a.Parts) && a.Parts[k] == p.Part || slices.Contains(a.Parts, p.Part) {
 				top = mergeHits(top, p.Hits)
 			}
 		}
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -677,8 +677,6 @@
 		s.status, s.reason = dandeliongap.SubUnknown, dandeliongap.ReasonDeadline
 		dst = p.cancel(now, q, &q.attempts[s.last], RulePlain, dst)
 		return p.exhaust(now, v, q, i, rng, dst)
-	case q.req.Action || s.open > 1:
-		return dst
 	default:
 		return p.hedge(now, v, q, i, rng, dst)
 	}
