--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -13,12 +13,13 @@
 //	R3  Choice: the expected wait of a replica is (own outstanding + queued + 1)
 //	    x recent latency / limit. A replica in the VM's own zone is taken if its
 //	    wait is at most the lowest wait elsewhere plus the learned distance of
-//	    that zone. Otherwise a replica is drawn with the weight wait^-4, so that
-//	    VMs with equal, outdated marks do not all pick the same replica.
+//	    that zone. Among those that remain, one is drawn with the weight wait^-4,
+//	    so that VMs with equal, outdated marks do not all pick the same replica.
 //	R4  Trial: a replica that did not answer this VM within 10 s gets one request
 //	    at a time while a known one is usable. A replica with a failed connection is
 //	    avoided for 100 ms, doubled on each further failure up to 5 s, and then
-//	    probed by one sub-request.
+//	    probed by one sub-request. One that left three late attempts without any
+//	    answer is used, for the same times, only if no other one is usable.
 //	R5  Avoidance: a replica gets nothing while it leaves or drains, its zone is
 //	    taken out, its placement row has no owner, its owner is not a member, it
 //	    does not hold the index version, or its refusal of this class or a more
