--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -310,6 +310,13 @@
 		Entry("nothing", true, 0.0, 0, dg.OutcomeUnknown, dg.ReasonDeadline),
 	)
 
+	It("R11 takes the deadline of the service if the request names none (guards against a query without end)", func() {
+		r := newRig(newView(1, 1))
+		r.v.Deployment.Services["all"].Deadline = 200 * time.Millisecond
+		_, acts := r.p.Start(10*ms, r.v, dgfanout.Request{Service: "all"}, r.rng, nil)
+		Expect(acts).To(HaveExactElements(HaveField("Deadline", 200*ms)), "210 ms less a margin of one part in 20")
+	})
+
 	It("R13 ends at once when the coverage is out of reach (guards against useless load)", func() {
 		r := newRig(newView(3, 1))
 		acts := sends(r.start(dgfanout.Request{MinCoverage: 0.9}))
