Sum the status up by group and add the stand-ins command

Cause: status printed one row for each of 50 leaf services and coverage 0% for services without a request; at 650 shards nobody can read that. The daemons could be tried as processes of their own only by writing a program for the stand-ins.

--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -29,16 +29,17 @@
 
 // CLI is the whole command line, in the form that kong reads.
 type CLI struct {
-	Check   CheckCommand   `cmd:"" help:"Check a configuration text and print every fault."`
-	Apply   ApplyCommand   `cmd:"" help:"Check a configuration text and put it in force."`
-	Show    ShowCommand    `cmd:"" help:"Print the configuration text in force."`
-	Status  StatusCommand  `cmd:"" help:"Show services, replicas and VMs."`
-	Zone    ZoneCommand    `cmd:"" help:"Take an availability zone out of service or return it."`
-	Search  SearchCommand  `cmd:"" help:"Run one search."`
-	Act     ActCommand     `cmd:"" help:"Run one request that may not be repeated."`
-	Demo    DemoCommand    `cmd:"" help:"Run stand-ins and six VMs in this process and show each promise as held or broken."`
-	Load    LoadCommand    `cmd:"" help:"Run an open-loop load with one fault and compare with the baseline policy."`
-	Version VersionCommand `cmd:"" help:"Print the version."`
+	Check    CheckCommand    `cmd:"" help:"Check a configuration text and print every fault."`
+	Apply    ApplyCommand    `cmd:"" help:"Check a configuration text and put it in force."`
+	Show     ShowCommand     `cmd:"" help:"Print the configuration text in force."`
+	Status   StatusCommand   `cmd:"" help:"Show services, replicas and VMs."`
+	Zone     ZoneCommand     `cmd:"" help:"Take an availability zone out of service or return it."`
+	Search   SearchCommand   `cmd:"" help:"Run one search."`
+	Act      ActCommand      `cmd:"" help:"Run one request that may not be repeated."`
+	Demo     DemoCommand     `cmd:"" help:"Run stand-ins and six VMs in this process and show each promise as held or broken."`
+	Load     LoadCommand     `cmd:"" help:"Run an open-loop load with one fault and compare with the baseline policy."`
+	Standins StandinsCommand `cmd:"" name:"stand-ins" help:"Run the stand-ins of the platform and of all backend servers until interrupted."`
+	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
 
 // Env is what commands use of the process.
--- a/dgcommand/status.go
+++ b/dgcommand/status.go
@@ -37,6 +37,7 @@
 // ServiceStatus is one service, over all VMs that answered.
 type ServiceStatus struct {
 	Service  dandeliongap.ServiceName
+	Leaves   []dandeliongap.ServiceName // of a group
 	Requests int64
 	Refused  int64
 	Coverage float64
@@ -57,15 +58,11 @@
 	Doing   string // what the tier does about the state
 }
 
-// summaryAbove is the number of replicas from which the table shows one line
-// per service and state.
-const summaryAbove = 40
-
 // StatusCommand shows the state of the tier.
 type StatusCommand struct {
 	Connection `embed:""`
 	JSON       bool `name:"json" help:"Print one JSON object."`
-	All        bool `help:"Show every replica, however many there are."`
+	All        bool `help:"Show every leaf service and every replica."`
 }
 
 // Help adds an example.
@@ -115,23 +112,93 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n", vm.VM, vm.Zone, vm.State, vm.Reachable, vm.Serving, vm.Config, vm.Replicas)
 	}
 	fmt.Fprintln(w, "\nSERVICE\tREQUESTS/MIN\tREFUSED\tCOVERAGE\tP50 MS\tP99 MS\tREPLICAS")
-	replicas := 0
-	for _, sv := range s.Services {
-		replicas += len(sv.Replicas)
-		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f%%\t%.1f\t%.1f\t%s\n",
-			sv.Service, sv.Requests, sv.Refused, 100*sv.Coverage, sv.P50Ms, sv.P99Ms, sv.states())
+	for _, sv := range s.summary(all) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%.1f\t%.1f\t%s\n",
+			sv.Service, sv.Requests, sv.Refused, sv.coverage(), sv.P50Ms, sv.P99Ms, sv.states())
 	}
-	if !all && replicas > summaryAbove {
-		fmt.Fprintln(w, "\nReplicas are summed up by state; --all shows each.")
+	if !all {
+		s.printUnusual(w)
 		return w.Flush()
 	}
-	fmt.Fprintln(w, "\nREPLICA\tZONE\tOWNER\tSTATE\tLIMIT\tBUSY\tQUEUED\tDOING")
+	printReplicas(w, s.Services)
+	return w.Flush()
+}
+
+// summary returns the services to show: all, or groups with the replicas of
+// their leaves and services that are in no group.
+func (s *Status) summary(all bool) []ServiceStatus {
+	if all {
+		return s.Services
+	}
+	byName := map[dandeliongap.ServiceName]*ServiceStatus{}
+	grouped := map[dandeliongap.ServiceName]bool{}
+	for i := range s.Services {
+		byName[s.Services[i].Service] = &s.Services[i]
+		for _, leaf := range s.Services[i].Leaves {
+			grouped[leaf] = true
+		}
+	}
+	var shown []ServiceStatus
+	for _, sv := range s.Services {
+		if grouped[sv.Service] {
+			continue
+		}
+		for _, leaf := range sv.Leaves {
+			if found := byName[leaf]; found != nil {
+				sv.Replicas = append(sv.Replicas, found.Replicas...)
+			}
+		}
+		shown = append(shown, sv)
+	}
+	return shown
+}
+
+// coverage is a dash while no search was answered.
+func (sv *ServiceStatus) coverage() string {
+	if sv.Requests <= sv.Refused {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*sv.Coverage)
+}
+
+// maxUnusual is the number of replicas that the summary names.
+const maxUnusual = 20
+
+// printUnusual names the replicas that are neither warm nor on their way there.
+func (s *Status) printUnusual(w io.Writer) {
+	usual := map[string]bool{"warm": true, "ramping": true, "cold": true}
+	var unusual []ServiceStatus
+	shown, total := 0, 0
 	for _, sv := range s.Services {
+		one := ServiceStatus{Service: sv.Service}
+		for _, r := range sv.Replicas {
+			if usual[r.State] {
+				continue
+			}
+			total++
+			if shown < maxUnusual {
+				shown++
+				one.Replicas = append(one.Replicas, r)
+			}
+		}
+		unusual = append(unusual, one)
+	}
+	if total == 0 {
+		return
+	}
+	printReplicas(w, unusual)
+	if total > shown {
+		fmt.Fprintf(w, "and %d more; --all shows each replica\n", total-shown)
+	}
+}
+
+func printReplicas(w io.Writer, services []ServiceStatus) {
+	fmt.Fprintln(w, "\nREPLICA\tZONE\tOWNER\tSTATE\tLIMIT\tBUSY\tQUEUED\tDOING")
+	for _, sv := range services {
 		for _, r := range sv.Replicas {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Replica, r.Zone, r.Owner, r.State, r.Limit, r.Busy, r.Queued, r.Doing)
 		}
 	}
-	return w.Flush()
 }
 
 // states counts the replicas by state, in a fixed order.
--- a/dgnode/status.go
+++ b/dgnode/status.go
@@ -48,6 +48,7 @@
 
 type serviceStatus struct {
 	Service  dandeliongap.ServiceName
+	Leaves   []dandeliongap.ServiceName // of a group
 	Requests int64
 	Refused  int64
 	Coverage float64
@@ -228,6 +229,9 @@
 		} else if sv.Requests > sv.Refused {
 			sv.Coverage = 1
 		}
+		if s.Kind == dandeliongap.KindGroup {
+			sv.Leaves = s.Leaves
+		}
 		for i := range s.Replicas {
 			sv.Replicas = append(sv.Replicas, replicaStatusOf(v, &s.Replicas[i], states[s.Replicas[i].ID]))
 		}
