--- a/dgmember/change.go
+++ b/dgmember/change.go
@@ -104,6 +104,15 @@
 	return s.writeList(now, rule, dst)
 }
 
+// MayWrite tells whether it is this VM's turn to write the placement table, if
+// there has been something to write since the given instant (L1).
+func (s *State) MayWrite(now, since dandeliongap.Instant) bool {
+	if s.lost || s.paused || s.leaving || !s.Listed() || now >= s.renewal.end {
+		return false
+	}
+	return now >= since.Add(time.Duration(s.lowerRanks(now))*RankStep)
+}
+
 func (s *State) writeList(now dandeliongap.Instant, rule Rule, dst []Action) []Action {
 	s.noteAdopted(now)
 	l, changed := s.nextList()
--- a/dgmember/fence.go
+++ b/dgmember/fence.go
@@ -93,7 +93,8 @@
 		return dst
 	}
 	if version != p.version {
-		p.version, p.ttl, p.since = version, lease.TTL, now
+		// A body without a TTL must not shorten the wait.
+		p.version, p.ttl, p.since = version, max(lease.TTL, TTL(s.vms)), now
 	}
 	return dst
 }
--- a/dgplacement/safety_test.go
+++ b/dgplacement/safety_test.go
@@ -31,16 +31,6 @@
 	simReplicas = 2
 )
 
-func (w *world) live() []*node {
-	var live []*node
-	for _, n := range w.nodes {
-		if !n.dead {
-			live = append(live, n)
-		}
-	}
-	return live
-}
-
 // inject draws one fault. Faults last until another one of their kind or heal.
 func (w *world) inject(t *rapid.T, vms int) {
 	set := func() map[int]bool {
@@ -51,7 +41,7 @@
 		return s
 	}
 	victim := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "victim")]
-	switch rapid.SampledFrom([]string{"pause", "down", "up", "partition", "regions", "one-way", "join", "lossy", "restart", "heal"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"pause", "down", "up", "partition", "regions", "one-way", "join", "lossy", "restart", "power loss", "leave", "heal"}).Draw(t, "fault") {
 	case "pause":
 		victim.paused = w.now + time.Duration(rapid.IntRange(500, 40000).Draw(t, "ms"))*time.Millisecond
 	case "down":
@@ -77,6 +67,18 @@
 		}
 		victim.dead = true
 		w.after(time.Duration(rapid.IntRange(0, 20).Draw(t, "s"))*time.Second, func() { w.boot(victim.vm) })
+	case "power loss":
+		for i := range vms {
+			w.after(time.Duration(rapid.IntRange(0, 20).Draw(t, "s"))*time.Second, func() { w.boot(i) })
+		}
+		for _, n := range w.nodes {
+			n.dead = true
+		}
+	case "leave":
+		victim.later(0, func() {
+			victim.leaving = true
+			victim.member(victim.state.Leave(victim.local(), nil))
+		})
 	case "heal":
 		w.heal(vms)
 	}
--- a/dgplacement/sim_test.go
+++ b/dgplacement/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -121,6 +120,9 @@
 	asks     map[string]func(dgplacement.Action)
 	answered map[dandeliongap.ReplicaID]dandeliongap.Epoch
 	planAt   time.Duration
+	planned  bool // there is something to write since wanted
+	wanted   dandeliongap.Instant
+	leaving  bool
 }
 
 func newWorld(seed uint64, vms int, config *dandeliongap.Deployment) *world {
@@ -136,7 +138,13 @@
 
 var zoneNames = [...]dandeliongap.ZoneName{"a", "b", "c"}
 
-func (w *world) boot(vm int) *node {
+// boot starts a process on a VM that runs none.
+func (w *world) boot(vm int) {
+	for _, n := range w.nodes {
+		if n.vm == vm && !n.dead {
+			return
+		}
+	}
 	name := dandeliongap.VMName(fmt.Sprintf("vm%d", vm))
 	n := &node{
 		w: w, vm: vm, start: w.now - time.Duration(w.rnd.IntN(1000))*time.Second, rate: 0.995 + 0.01*w.rnd.Float64(),
@@ -152,7 +160,6 @@
 	n.hold = dgplacement.NewHoldings(n.id, w.rnd)
 	w.nodes = append(w.nodes, n)
 	n.later(0, n.tick)
-	return n
 }
 
 // local is the VM's own clock.
@@ -189,10 +196,26 @@
 		n.planAt = n.w.now + 500*time.Millisecond
 		n.plan()
 	}
+	if n.leaving && n.hold.Idle() && n.table.Rows != nil && !n.owns() {
+		n.member(n.state.Finish(n.local(), nil))
+	}
+	if n.state.Finished() {
+		n.dead = true
+		n.w.after(time.Second, func() { n.w.boot(n.vm) })
+	}
 	next := min(n.state.Next(), n.relay.Next(), n.hold.Next(n.local()))
 	n.later(max(next.Sub(n.local()), 10*time.Millisecond), n.tick)
 }
 
+func (n *node) owns() bool {
+	for _, r := range n.table.Rows {
+		if r.Owner == n.id {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns a member's process, or for "" a random one.
 func (n *node) find(id dandeliongap.MemberID) *node {
 	if id == "" {
@@ -349,10 +372,9 @@
 		to.member(to.state.JoinAsked(to.local(), self, nil))
 		a := dgmember.ExchangeAnswer{From: to.id, Sent: sent, ReachesPlatform: to.state.ReachesPlatform(to.local())}
 		a.Contacts = to.state.Vector(to.local(), nil)
-		newer, theirs := to.set.Newer(digest, dgrelay.MessageBytes), to.set.Digest()
-		for _, o := range n.set.Newer(theirs, dgrelay.MessageBytes) {
-			// The next exchange of the other side would bring it.
-			to.later(n.w.delay(), func() { to.adopt(o) })
+		newer := to.set.Newer(digest, dgrelay.MessageBytes)
+		if to.set.Behind(digest) {
+			to.exchange(n)
 		}
 		reply(func() {
 			n.relay.PeerAnswered(n.local())
@@ -378,7 +400,7 @@
 func (n *node) memberAction(a dgmember.Action) {
 	lease := func(o dandeliongap.Object) (l dgmember.Lease) {
 		if o.Body != nil {
-			must(0, json.Unmarshal(o.Body, &l))
+			return must(dgmember.DecodeLease(o.Body))
 		}
 		return l
 	}
@@ -422,7 +444,7 @@
 }
 
 func (n *node) renew(a dgmember.Action, unreachable func()) {
-	body := must(json.Marshal(a.Lease))
+	body := dgmember.EncodeLease(a.Lease)
 	done := func(o dandeliongap.Object, ok bool) {
 		if ok {
 			n.member(n.state.RenewOK(n.local(), a.Lease.Attempt, o.Version, nil))
@@ -477,8 +499,8 @@
 	}, func() { n.act(n.hold.ReleaseFailed(n.local(), a.Member, a.Replica, a.Epoch, nil)) })
 }
 
-// plan writes the table whenever there is something to change. All VMs do so at
-// once: the rank order of L1 only saves calls.
+// plan writes the table when there is something to change. Some VMs do so out of
+// turn, because the rank order of L1 only saves calls.
 func (n *node) plan() {
 	members, ok := n.set.Get(dgrelay.Members)
 	if !ok || !n.state.Listed() {
@@ -489,7 +511,11 @@
 		Deployment: n.w.config, Config: 1, Members: n.list.Members, MembersVersion: members.Version,
 		Present: n.table, Version: old.Version, Moves: &n.moves,
 	})
-	if len(ds) == 0 {
+	if len(ds) > 0 && !n.planned {
+		n.wanted = n.local()
+	}
+	n.planned = len(ds) > 0
+	if !n.planned || (!n.state.MayWrite(n.local(), n.wanted) && n.vm != 1) {
 		return
 	}
 	body := must(dgrelay.EncodeTable(dgrelay.Table{Rows: rows, Members: members.Version, Config: 1}))
--- a/dgrelay/set.go
+++ b/dgrelay/set.go
@@ -97,6 +97,17 @@
 	return d
 }
 
+// Behind tells whether the digest has a newer version than the set of any object.
+// A VM that receives such a digest in a request exchanges with the sender in turn.
+func (s *Set) Behind(digest []ObjectVersion) bool {
+	for _, v := range digest {
+		if i := index(v.Name); i >= 0 && v.Version > s.objects[i].Version {
+			return true
+		}
+	}
+	return false
+}
+
 // Newer returns the objects that are newer than the digest says, with bodies of
 // at most limit bytes in total, but at least one object; the rest goes with the
 // next message. MessageBytes is the usual limit.
