Count earlier lists once a majority has given them up

Cause: F1 and M2 asked for fresh reports of a majority of each earlier list. A VM never goes back to an older list, so that its majority once heard under the present one is enough.

--- a/dgmember/doc.go
+++ b/dgmember/doc.go
@@ -2,10 +2,9 @@
 // one VM. It has no goroutine, clock or lock: a driver passes the time and
 // events, and carries out the actions.
 //
-// A majority is more than half of the VM names in the list of members, and also
-// of each earlier list that the object still names (F4). A VM with several
-// incarnations in the list counts once. This assumes that no two processes of
-// one VM name run at the same time.
+// A majority is more than half of the VM names in the list of members. A VM with
+// several incarnations in the list counts once. This assumes that no two
+// processes of one VM name run at the same time.
 //
 // W is the contact window: 3 s up to 100 VMs, 8 s above. The margin is 1 s.
 //
@@ -25,12 +24,14 @@
 //     object is deleted only if its version did not change for the TTL in its
 //     body + W + margin, and if during all of the last 2 W the same majority,
 //     the suspect not counted, reported under this version of the list that it
-//     reaches the platform, this VM among them. For earlier lists a report
-//     under this version is enough.
+//     reaches the platform, this VM among them.
 //   - F2: The deletion is conditional on the version that was read.
 //   - F3: A member is dropped from the list only after its lease object is gone.
 //   - F4: A new list names the VMs of the list that it replaces, and of those
 //     earlier lists of which no majority was heard of under the replaced one.
+//     M2 holds only once a majority of each list so named was heard of under the
+//     present one, and F1 only 2 W later. Nobody can be under M2 by a list that
+//     its majority has given up.
 //   - L1: The member with the lowest rank among those heard of acts first, each
 //     next one 1 s later.
 //   - C1: Only the answer to an exchange counts as contact, and it is as old as
@@ -46,7 +47,7 @@
 // majorities share a member that then reported the platform as unreachable, and
 // that the other VM had reports of, at most W old, over all of [t - 2W, t], that
 // all said the opposite. By C2 this cannot be. With different versions of the
-// list the shared member would have reported under the older version after it
-// had adopted the newer one. After t the holder can only come back by a
+// list, by F4 a majority of the older one has adopted the newer one, and no
+// majority reports under the older one any more. After t the holder can only come back by a
 // renewal, which changes the version (F2).
 package dgmember
--- a/dgmember/roster.go
+++ b/dgmember/roster.go
@@ -17,17 +17,16 @@
 	vat dandeliongap.Instant // newest report under this version of the list
 	von bool
 	vok bool
-	// sinceAny and sinceOn are since when there was always a report under this
-	// version that was at most W old, and one that said that it reached the
-	// platform.
-	sinceAny dandeliongap.Instant
-	sinceOn  dandeliongap.Instant
+	// sinceOn is since when there was always a report under this version that was
+	// at most W old and said that it reached the platform.
+	sinceOn dandeliongap.Instant
 }
 
 // group is a set of VMs of which a majority counts.
 type group struct {
-	vms     []int // ordinals of VM names
-	adopted bool  // a majority was heard of under this version
+	vms     []int                // ordinals of VM names
+	adopted bool                 // a majority was heard of under this version
+	since   dandeliongap.Instant // when that was found
 }
 
 // roster is the list of members with their contacts.
@@ -110,9 +109,6 @@
 		return
 	}
 	lapsed := !c.vok || now.Sub(c.vat) > r.window
-	if lapsed {
-		c.sinceAny = now
-	}
 	if lapsed || !c.von {
 		c.sinceOn = now
 	}
@@ -165,8 +161,12 @@
 	return r.picked[len(r.picked)-(len(g.vms)/2+1)], true
 }
 
-// noteAdopted updates which groups have a majority that adopted this version.
+// noteAdopted updates which earlier lists have a majority that adopted this
+// version. A VM never goes back to an older version, so once is enough.
 func (r *roster) noteAdopted(now dandeliongap.Instant) {
+	if r.adoptedAll() {
+		return
+	}
 	r.clearMarks()
 	for i, c := range r.known {
 		if c.vok || i == r.self {
@@ -174,40 +174,51 @@
 		}
 	}
 	for i := range r.groups {
-		r.groups[i].adopted = r.groups[i].adopted || r.majority(r.groups[i])
+		if g := &r.groups[i]; !g.adopted && r.majority(*g) {
+			g.adopted, g.since = true, now
+		}
+	}
+}
+
+func (r *roster) adoptedAll() bool {
+	for _, g := range r.groups {
+		if !g.adopted {
+			return false
+		}
 	}
+	return true
 }
 
 // reachMajority tells whether the same majority was heard of and reached the
-// platform during all of the last 2 W, skip not counted (F1). selfSince is since
-// when this VM reaches the platform under this version.
+// platform during all of the last 2 W, skip not counted, and whether all earlier
+// lists were given up before (F1, F4). selfSince is since when this VM reaches the
+// platform under this version.
 func (r *roster) reachMajority(now, selfSince dandeliongap.Instant, skip int) bool {
-	for gi, g := range r.groups {
-		r.clearMarks()
-		for i, c := range r.known {
-			since := c.sinceOn
-			if gi > 0 {
-				since = c.sinceAny
-			}
-			fresh := c.vok && (c.von || gi > 0) && now.Sub(c.vat) <= r.window
-			if i != skip && i != r.self && fresh && now.Sub(since) >= 2*r.window {
-				r.mark(i, now)
-			}
-		}
-		if r.self >= 0 && now.Sub(selfSince) >= 2*r.window {
-			r.mark(r.self, now)
-		}
-		if !r.majority(g) {
+	if len(r.groups) == 0 {
+		return false
+	}
+	for _, g := range r.groups[1:] {
+		if !g.adopted || now.Sub(g.since) < 2*r.window {
 			return false
 		}
 	}
-	return len(r.groups) > 0
+	r.clearMarks()
+	for i, c := range r.known {
+		fresh := c.vok && c.von && now.Sub(c.vat) <= r.window
+		if i != skip && i != r.self && fresh && now.Sub(c.sinceOn) >= 2*r.window {
+			r.mark(i, now)
+		}
+	}
+	if r.self >= 0 && now.Sub(selfSince) >= 2*r.window {
+		r.mark(r.self, now)
+	}
+	return r.majority(r.groups[0])
 }
 
 // cutOffUntil returns when the reports of a majority that they do not reach the
 // platform become older than W (M2); this VM counts as one of them.
 func (r *roster) cutOffUntil(now dandeliongap.Instant) (dandeliongap.Instant, bool) {
-	if r.self < 0 {
+	if r.self < 0 || !r.adoptedAll() {
 		return 0, false
 	}
 	r.clearMarks()
@@ -217,17 +228,8 @@
 		}
 	}
 	r.mark(r.self, now)
-	until := now
-	for i, g := range r.groups {
-		oldest, ok := r.oldestOfMajority(g)
-		if !ok {
-			return 0, false
-		}
-		if end := oldest.Add(Window(r.vms)); i == 0 || end < until {
-			until = end
-		}
-	}
-	return until, true
+	oldest, ok := r.oldestOfMajority(r.groups[0])
+	return oldest.Add(Window(r.vms)), ok
 }
 
 // heardWithin tells whether more than half of the VMs of the list were heard of
--- a/dgmember/state.go
+++ b/dgmember/state.go
@@ -138,6 +138,7 @@
 		delete(s.dropped, m.ID)
 	}
 	s.replace(now, s.self.ID, version, exists, list)
+	s.noteAdopted(now)
 	s.listedAt = now
 	s.writing = false
 	s.settleChanges(now)
@@ -172,6 +173,7 @@
 	}
 	if a.Contacts.Version == s.roster.version && len(a.Contacts.Ages) == len(s.known) {
 		s.merge(now, a)
+		s.noteAdopted(now)
 	}
 	s.extend(now)
 	s.dropHeard(now)
--- a/dgplacement/safety_test.go
+++ b/dgplacement/safety_test.go
@@ -121,3 +121,71 @@
 		}
 	})
 }
+
+// scenario starts six VMs and lets them settle.
+func scenario(t *testing.T) *world {
+	w := newWorld(7, 6, deployment(simLeaves, simReplicas))
+	w.runFor(time.Minute)
+	if n := w.holders(); n != simLeaves*simReplicas {
+		t.Fatalf("%d replicas have a holder at the start", n)
+	}
+	return w
+}
+
+func (w *world) expect(t *testing.T, what string, fenced, holders int) {
+	t.Helper()
+	if w.fault != "" || w.fenced != fenced || w.holders() != holders {
+		t.Fatalf("%s: %d fenced, %d holders, %q", what, w.fenced, w.holders(), w.fault)
+	}
+}
+
+// Guards against a VM that goes on after a pause in which it was fenced, and
+// against replicas that wait for it.
+func TestPauseBeyondLease(t *testing.T) {
+	w := scenario(t)
+	victim := w.nodes[2]
+	victim.paused = w.now + time.Minute
+	w.runFor(50 * time.Second)
+	w.expect(t, "while paused", 1, simLeaves*simReplicas)
+	w.runFor(time.Minute)
+	w.expect(t, "after the pause", 1, simLeaves*simReplicas)
+	if !victim.dead {
+		t.Fatal("the fenced incarnation still runs")
+	}
+}
+
+// Guards against a minority that keeps its replicas while the majority side
+// reaches the platform and moves them.
+func TestMinorityWithoutPlatform(t *testing.T) {
+	w := scenario(t)
+	w.down = map[int]bool{0: true, 1: true}
+	w.cutIf(6, func(a, b int) bool { return w.down[a] != w.down[b] })
+	w.runFor(time.Minute)
+	w.expect(t, "in the partition", 2, simLeaves*simReplicas)
+	for _, n := range w.nodes[:2] {
+		if _, ok := n.state.Rights(n.local()); ok {
+			t.Fatal("the minority has rights")
+		}
+	}
+}
+
+// Guards against a minority that reaches the platform and fences a majority that
+// goes on under M2, also with VMs that join on its side.
+func TestMinorityWithPlatform(t *testing.T) {
+	w := scenario(t)
+	w.down = map[int]bool{0: true, 1: true, 2: true, 3: true}
+	w.cutIf(20, func(a, b int) bool { return w.down[a] != w.down[b] })
+	for i := range 10 {
+		w.boot(6 + i)
+	}
+	w.runFor(5 * time.Minute)
+	for _, n := range w.nodes[:4] {
+		if _, ok := n.state.Rights(n.local()); !ok {
+			t.Fatal("the majority lost its rights")
+		}
+	}
+	w.expect(t, "in the partition", 0, w.holders())
+	w.heal(20)
+	w.runFor(time.Minute)
+	w.expect(t, "after the partition", 0, simLeaves*simReplicas)
+}
