--- a/dgmember/state_test.go
+++ b/dgmember/state_test.go
@@ -356,3 +356,36 @@
 		Expect(f.kinds(dgmember.KindWriteMembers)).NotTo(BeEmpty())
 	})
 })
+
+// The figures feed the capacity page: one answer to an exchange, one tick and one
+// contact vector, by the number of VMs.
+func BenchmarkMember(b *testing.B) {
+	for _, n := range []int{6, 152, 305, 610} {
+		f := newFleet(n)
+		ages := make([]byte, n)
+		a := dgmember.ExchangeAnswer{From: record(1).ID, Contacts: dgmember.Vector{Version: f.ver, Ages: ages}}
+		step := func() { f.now = f.now.Add(time.Millisecond) }
+		b.Run(fmt.Sprintf("exchanged/vms=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+				a.Sent = f.now
+				f.s.Exchanged(f.now, a, nil)
+			}
+		})
+		acts := make([]dgmember.Action, 0, 16)
+		b.Run(fmt.Sprintf("tick/vms=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+				f.do(f.s.Tick(f.now, acts[:0]))
+			}
+		})
+		b.Run(fmt.Sprintf("vector/vms=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.s.Vector(f.now, ages[:0])
+			}
+		})
+	}
+}
--- a/dgplacement/placement_test.go
+++ b/dgplacement/placement_test.go
@@ -227,6 +227,31 @@
 			}
 		})
 	}
+	for _, leaves := range []int{312, 625, 1250} {
+		t := planned(610, leaves, 2).Present
+		body, err := dgrelay.EncodeTable(t)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("decode/replicas=%d", 2*leaves), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(body)), "body-bytes")
+			for b.Loop() {
+				if _, err := dgrelay.DecodeTable(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		h := dgplacement.NewHoldings("vm001", rand.New(rand.NewPCG(1, 1)))
+		version := dandeliongap.Version(0)
+		b.Run(fmt.Sprintf("holdings/replicas=%d", 2*leaves), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				h.Table(time1, version, t, nil)
+			}
+		})
+	}
 	first := planned(610, 1250, 2)
 	first.Present, first.Version = dgrelay.Table{}, 0
 	b.Run("first/vms=610/replicas=2500", func(b *testing.B) {
--- a/dgplacement/safety_test.go
+++ b/dgplacement/safety_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+// Guards against an orderly stop that has to be fenced or leaves replicas behind.
+func TestLeave(t *testing.T) {
+	w := scenario(t)
+	victim := w.nodes[2]
+	victim.leaving = true
+	victim.member(victim.state.Leave(victim.local(), nil))
+	w.runFor(15 * time.Second)
+	w.expect(t, "after the stop", 0, simLeaves*simReplicas)
+	if !victim.dead {
+		t.Fatal("it has not left")
+	}
+}
+
 // Guards against a VM that goes on after a pause in which it was fenced, and
 // against replicas that wait for it.
 func TestPauseBeyondLease(t *testing.T) {
--- a/dgplacement/sim_test.go
+++ b/dgplacement/sim_test.go
@@ -422,7 +422,9 @@
 	case dgmember.KindDeleteLease:
 		n.platform(leaseName(a.Member), true, nil, a.Version, func(_ dandeliongap.Object, ok bool) {
 			if ok {
-				n.w.fenced++
+				if a.Member != n.id {
+					n.w.fenced++
+				}
 				n.member(n.state.LeaseDeleted(n.local(), a.Member, nil))
 				return
 			}
