Keep the place of a connect that its request abandoned

A cancelled connect may have been accepted by the backend server, which then counts a connection that the client has given up.

--- a/dgbackend/client_test.go
+++ b/dgbackend/client_test.go
@@ -36,6 +36,26 @@
 	return r
 }
 
+// endsAtConnect is a context that ends between the check before a connect and
+// the connect.
+type endsAtConnect struct {
+	context.Context
+	checked atomic.Bool
+}
+
+func (*endsAtConnect) Done() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+func (e *endsAtConnect) Err() error {
+	if e.checked.Swap(true) {
+		return context.Canceled
+	}
+	return nil
+}
+
 // rawServer answers each connection with fn, for faults that no HTTP server has.
 func rawServer(fn func(net.Conn, *bufio.Reader)) (replica *dandeliongap.Replica, accepted *atomic.Int64) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -281,10 +301,12 @@
 		o.Queue = 10
 		start(o)
 		hold := make(chan struct{})
+		release := sync.OnceFunc(func() { close(hold) })
 		r2, accepted := rawServer(func(_ net.Conn, br *bufio.Reader) {
 			_, _ = readRequest(br)
 			<-hold
 		})
+		DeferCleanup(release) // before the server of r2 waits for its connections
 		r2.Connections = 1
 		req := search()
 		req.Deadline = time.Now().Add(50 * time.Millisecond)
@@ -293,10 +315,21 @@
 		next.Deadline = time.Now().Add(50 * time.Millisecond)
 		Expect(c.Send(context.Background(), r2, next).Status).To(Equal(dandeliongap.SubNotRun))
 		Expect(accepted.Load()).To(BeEquivalentTo(1))
-		close(hold)
+		release()
 		Eventually(func() int64 { return c.Stats().Open }, patience).Should(BeZero())
 	})
 
+	It("keeps the place of a connect that its request abandoned, because the server may have accepted it", func() {
+		start(options(1, 1))
+		a := c.Send(&endsAtConnect{Context: context.Background()}, r, search())
+		Expect(a.Status).NotTo(Equal(dandeliongap.SubAnswered))
+		Eventually(b.OpenConnections, patience).Should(Equal(1))
+		Eventually(func() int64 { return c.Stats().Idle }, patience).Should(BeEquivalentTo(1))
+		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
+		n := b.Counters()
+		Expect([]int64{n.Connections, n.ConnectionViolations}).To(Equal([]int64{1, 0}))
+	})
+
 	It("opens missing connections ahead and keeps as many as there are slots", func() {
 		start(options(3, 30))
 		Expect(send(search()).Status).To(Equal(dandeliongap.SubAnswered))
--- a/dgbackend/pool.go
+++ b/dgbackend/pool.go
@@ -115,24 +115,56 @@
 	p.waiters = p.waiters[1:]
 }
 
-// dial makes a connection in a place that was taken, or gives the place back.
+// dial makes a connection in a place that was taken, or gives the place back. A
+// connect goes on when its request is over, and its connection becomes free: the
+// backend server may have accepted it already, so that giving the place back at
+// once would break B1.
 func (p *pool) dial(ctx context.Context, deadline time.Time) (*conn, dandeliongap.Reason) {
+	made, over := make(chan *conn), make(chan struct{})
+	p.c.wg.Add(1)
+	go func() {
+		defer p.c.wg.Done()
+		cn := p.connect()
+		select {
+		case made <- cn:
+		case <-over:
+			if cn != nil {
+				p.release(cn)
+			}
+		}
+	}()
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	reason := dandeliongap.ReasonDeadline
+	select {
+	case cn := <-made:
+		if cn == nil {
+			return nil, dandeliongap.ReasonConnection
+		}
+		return cn, dandeliongap.ReasonNone
+	case <-ctx.Done():
+		reason = dandeliongap.ReasonCancelled
+	case <-t.C:
+	}
+	close(over)
+	return nil, reason
+}
+
+// connect returns a new connection; nil if there is none and the place was given
+// back.
+func (p *pool) connect() *conn {
 	p.c.stats.dials.Add(1)
-	d := net.Dialer{Timeout: p.c.opt.DialTimeout, Deadline: deadline}
-	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	nc, err := net.DialTimeout("tcp", p.addr, p.c.opt.DialTimeout)
 	if err == nil {
 		var cn *conn
 		if cn, err = newConn(nc.(*net.TCPConn)); err == nil {
-			return cn, dandeliongap.ReasonNone
+			return cn
 		}
 		_ = nc.Close()
 	}
 	p.c.stats.dialFails.Add(1)
 	p.leave()
-	if ctx.Err() != nil {
-		return nil, dandeliongap.ReasonCancelled
-	}
-	return nil, dandeliongap.ReasonConnection
+	return nil
 }
 
 // leave gives a place back.
@@ -195,12 +227,11 @@
 
 // openOne opens one connection in a place that was taken and pays its cost.
 func (p *pool) openOne() bool {
-	end := time.Now().Add(p.c.opt.DialTimeout)
-	cn, reason := p.dial(context.Background(), end)
-	if reason != dandeliongap.ReasonNone {
+	cn := p.connect()
+	if cn == nil {
 		return false
 	}
-	if _, err := p.health(cn, end); err != nil {
+	if _, err := p.health(cn, time.Now().Add(p.c.opt.DialTimeout)); err != nil {
 		return false
 	}
 	p.c.stats.ahead.Add(1)
