Drive the gate's tests by scripts

The same steps serve the tests of single rules and the random orders of events. Tests that changes of the code showed to be missing are added: one trial at a time, the ramp by answers of another limit, a shed refusal by excess, draining at a handover.

--- a/dggate/gate_test.go
+++ b/dggate/gate_test.go
@@ -1,11 +1,13 @@
 package dggate_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dggate"
@@ -17,264 +19,219 @@
 }
 
 const (
-	ms       = dandeliongap.Instant(time.Millisecond)
-	deadline = 300 * ms
-	answered = dandeliongap.SubAnswered
-	urgent   = dandeliongap.ClassUrgent
-	archive  = dandeliongap.ClassArchive
+	one   = "slots1 end10000 grant1:1 "
+	three = "slots3 end10000 grant1:3 "
 )
 
-func id(n int) dandeliongap.SubID { return dandeliongap.SubID{Query: uint64(n)} }
-
-func newGate(slots, limit dandeliongap.Slots) *dggate.Gate {
-	g := &dggate.Gate{}
-	g.Configure(dandeliongap.Replica{Slots: slots, ColdLimit: 1, Connections: 30})
-	g.RightsUntil(time10s)
-	g.Grant(0, 1, dggate.Handover{Known: true, Limit: limit}, nil)
-	return g
-}
-
-const time10s = 10000 * ms
+// Each entry names the failure that the rule prevents.
+var _ = DescribeTable("the gate",
+	func(script, want string) { Expect((&bench{}).run(script)).To(Equal(want)) },
+	Entry("G1: sends to a replica of another owner", "o1 state next",
+		"R1 not owner G1, not held 0/0, next 9223372036854"),
+	Entry("G1: forgets the state of the replica at its release", one+"o1 d1 revoke2 handover",
+		"D1@300 G10, {Limit:1 Known:true Draining:false Normal:10ms}"),
+	Entry("G1: sends after its release", one+"o1 o2 revoke2 d1 grant2 await2 o3 grant3 revoke2 o4",
+		"D1@300 G10, R2 not owner G1, R3 not owner G1, D4@300 G10"),
+	Entry("G2: sends while a former owner does, or loses what waits", "slots2:2 end10000 await4 o1 at1 o2 next at300 t grant4",
+		"next 300, R1 not owner G2, D2@301 G10"),
+	Entry("G3: lets a request run after the lease", one+"end100 o1 o2 end50 next at50 t o3",
+		"D1@100 G10, next 0, R2 lease lapsed G3, R3 lease lapsed G3"),
+	Entry("G4, G14: reuses a slot that is still taken", one+"o1 at200 o2 c1 c1 at400 t stopped1 o3 c3",
+		"D1@300 G10, C1 G14, D2@500 G10, R3 cancelled G14"),
+	Entry("G4: exceeds the connections", "slots9 end10000 grant1:9 state",
+		"warm 0/4"),
+	Entry("G5: gives an unknown replica its whole load", "slots3 end10000 grant1 o1 o2 state",
+		"D1@300 G10, cold 1/1"),
+	Entry("G5: never ends a cold start", "slots3 end10000 grant1 warm8 state warm8 state",
+		"ramping 0/2, warm 0/3"),
+	Entry("G5: ramps by answers of another limit", "slots3 end10000 grant1:2 o1 o2 cold1 d2 warm7 state warm1 state",
+		"D1@300 G10, D2@300 G10, cold 0/1, ramping 0/2"),
+	Entry("G5: ramps by answers with the cold mark", "slots3 end10000 grant1 warm7 o1 cold1 warm7 state",
+		"D1@300 G10, cold 0/1"),
+	Entry("G6: goes on at full load after a cold mark", three+"o1 o2 o3 o4 o5 cold1 state d2 d3 state",
+		"D1@300 G10, D2@300 G10, D3@300 G10, cold 2/1, D4@300 G10, cold 1/1"),
+	Entry("G6: misses a cold start without mark, or takes a straggler for one", three+"warm40 o1 d1:60 o2 d2:60 o3 d3 o4 d4:60 o5 d5:60 state o6 d6:60 state",
+		"D1@300 G10, D2@300 G10, D3@300 G10, D4@300 G10, D5@300 G10, warm 0/3, D6@300 G10, cold 0/1"),
+	Entry("G6: goes on at full load after a restart, or stops at a timeout", three+"warm40 o1 timeout1:60 state o2 lost2 state",
+		"D1@300 G10, warm 0/3, D2@300 G10, cold 0/1"),
+	Entry("G6, G7: answers shedding with more load", three+"o1 shed1 state o2 next at40 t",
+		"D1@300 G10, cold 0/1, next 40, D2@300 G10"),
+	Entry("G6: turns cold by a shed that its own excess explains", three+"o1 o2 o3 slots2 shed1 state",
+		"D1@300 G10, D2@300 G10, D3@300 G10, warm 2/2"),
+	Entry("G8: holds the queue of a lost replica, sends bursts of trials, returns at full load",
+		"slots3:2 end10000 grant1:3 o1 o2 o3 o4 o5 lost1 lost2 lost3 stopped4 state o11 at50 o6 o7 lost6 at149 o8 at150 act9 o10 d10 state",
+		"D1@300 G10, D2@300 G10, D3@300 G10, D4@300 G10, R5 connection lost G8 in 50, lost 0/2, R11 connection lost G8 in 50, D6@350 G8, R7 connection lost G8 in 50, R8 connection lost G8 in 50, R9 connection lost G8 in 100, D10@450 G8, cold 0/2"),
+	Entry("G9: sends to a zone that is taken out, or returns at full load", "slots2 end10000 grant1:2 o1 o2 o3 out1 o4 state out0 state",
+		"D1@300 G10, D2@300 G10, R3 zone taken out G9, R4 zone taken out G9, leaving 2/2, cold 2/1"),
+	Entry("G9: sends to a leaving replica", "slots2 end10000 grant1:2 o1 leaving1 handover drain0 o2 drain1 drain0 state leave2 o3",
+		"D1@300 G10, {Limit:2 Known:true Draining:true Normal:10ms}, R2 draining G9, cold 0/1, R3 draining G9"),
+	Entry("G9: forgets at a handover that the replica is leaving", "slots2 end10000 take1 o1", "R1 draining G9"),
+	Entry("G10: lets urgent requests wait for others", one+"o0 o1:900 o2 a3 u4 d0 d4 d2 d1",
+		"D0@300 G10, D4@300 G10, D2@300 G10, D1@900 G10, D3@300 G10"),
+	Entry("G12: uses slots for requests that are late", one+"warm40 u1:5 u2:15 u3:25 next wait15 t u4:0",
+		"D1@5 G10, R2 overload G12 in 10, next 15, R3 overload G12 in 10, R4 deadline G12"),
+)
 
-// offer returns the only action that a request with the usual deadline causes.
-func offer(g *dggate.Gate, now dandeliongap.Instant, n int, c dandeliongap.Class) dggate.Action {
-	acts := g.Offer(now, dggate.Request{ID: id(n), Class: c, Deadline: now + deadline}, nil)
-	if len(acts) == 0 {
-		return dggate.Action{}
+var _ = DescribeTable("G11: archive requests would starve", func(others string, after int) {
+	b := &bench{}
+	b.run(one + "o0 a1")
+	for i := range 60 {
+		b.do(fmt.Sprint(others, 100+i))
 	}
-	Expect(acts).To(HaveLen(1))
-	return acts[0]
-}
-
-func done(g *dggate.Gate, now dandeliongap.Instant, n int, latency dandeliongap.Instant) []dggate.Action {
-	return g.Done(now, id(n), dggate.Result{Status: answered, Latency: time.Duration(latency)}, nil)
-}
-
-// fail ends request n with a status and reason.
-func fail(g *dggate.Gate, now dandeliongap.Instant, n int, s dandeliongap.SubStatus, r dandeliongap.Reason) []dggate.Action {
-	return g.Done(now, id(n), dggate.Result{Status: s, Reason: r, RetryAfter: 40 * time.Millisecond}, nil)
-}
+	n, last := 0, uint64(0)
+	for ; last != 1; n++ {
+		last = b.do(fmt.Sprintf("d%d:0", last))[0].ID.Query
+	}
+	Expect(n).To(Equal(after))
+}, Entry("behind ordinary ones", "o", dggate.ArchiveEvery), Entry("behind urgent ones", "u", 2*dggate.ArchiveEvery))
+
+var _ = It("G13: a queue would grow without bound before a service time is known", func() {
+	b := &bench{}
+	b.run(one)
+	refused := 0
+	for i := range dggate.QueuePerSlot + 5 {
+		for _, a := range b.do(fmt.Sprint("a", i)) {
+			if a.Rule == dggate.RuleBound {
+				refused++
+			}
+		}
+	}
+	Expect(refused).To(Equal(4))
+})
 
-func dispatch(n int, now dandeliongap.Instant, rule dggate.Rule) dggate.Action {
-	return dggate.Action{Kind: dggate.Dispatch, ID: id(n), Deadline: now + deadline, Rule: rule}
+// model holds what a gate promised and checks each action against it.
+type model struct {
+	*rapid.T
+	bench
+	end    dandeliongap.Instant
+	epoch  int
+	held   bool
+	out    bool
+	open   map[dandeliongap.SubID]dandeliongap.Class // not ended
+	sent   []dandeliongap.SubID
+	others int // dispatches of other classes while archive waited
 }
 
-func refusal(n int, r dandeliongap.Reason, rule dggate.Rule) dggate.Action {
-	return dggate.Action{Kind: dggate.Refuse, ID: id(n), Reason: r, Rule: rule}
+func (m *model) step(format string, args ...any) {
+	step := fmt.Sprintf(format, args...)
+	for _, a := range m.do(step) {
+		class, open := m.open[a.ID]
+		switch {
+		case !open:
+			m.Fatalf("%s: %v after the end of its request", step, a)
+		case a.Rule == dggate.RuleNone:
+			m.Fatalf("%s: %v names no rule", step, a)
+		case a.Kind == dggate.Refuse:
+			delete(m.open, a.ID)
+		case a.Kind == dggate.Dispatch:
+			m.sent = append(m.sent, a.ID)
+			if !m.held || m.out || a.Deadline > m.end || a.Deadline <= m.now {
+				m.Fatalf("%s: %v at %v, held %v, zone out %v, end %v", step, a, m.now, m.held, m.out, m.end)
+			}
+			if len(m.sent) > int(m.Mark().Limit) {
+				m.Fatalf("%s: %d in flight above the limit of %d", step, len(m.sent), m.Mark().Limit)
+			}
+			if m.others++; class == archive || !m.archiveWaits() {
+				m.others = 0
+			}
+			if m.others > 2*dggate.ArchiveEvery {
+				m.Fatalf("%s: %d dispatches before archive", step, m.others)
+			}
+		}
+	}
+	if !m.held && m.Drained() != (len(m.sent) == 0) {
+		m.Fatalf("%s: drained %v with %d in flight", step, m.Drained(), len(m.sent))
+	}
+	if mark := m.Mark(); int(mark.Busy) != len(m.sent) || mark.Queued != len(m.open)-len(m.sent) || mark.Limit > 4 {
+		m.Fatalf("%s: mark %+v with %d open, %d in flight", step, mark, len(m.open), len(m.sent))
+	}
 }
 
-// warm serves count requests of 10 ms each, one at a time, from instant 0.
-func warm(g *dggate.Gate, count int) dandeliongap.Instant {
-	var now dandeliongap.Instant
-	for i := range count {
-		Expect(offer(g, now, 1000+i, 0).Kind).To(Equal(dggate.Dispatch))
-		now += 10 * ms
-		done(g, now, 1000+i, 10*ms)
+func (m *model) archiveWaits() bool {
+	for id, c := range m.open {
+		if c == archive && !slices.Contains(m.sent, id) {
+			return true
+		}
 	}
-	return now
+	return false
 }
 
-var _ = Describe("rights", func() {
-	It("G1: a gate without rights would send to another owner's replica", func() {
-		g := &dggate.Gate{}
-		Expect(offer(g, 0, 1, 0)).To(Equal(refusal(1, dandeliongap.ReasonNotOwner, dggate.RuleRights)))
-		Expect(g.State()).To(Equal(dggate.NotHeld))
-		Expect(g.Drained()).To(BeTrue())
-		Expect(g.Next()).To(Equal(dggate.Never))
-	})
-	It("G1: a former owner would go on sending after its release, or again by a late grant", func() {
-		g := newGate(1, 1)
-		offer(g, 0, 1, 0)
-		offer(g, 0, 2, 0)
-		Expect(g.Revoke(ms, 2, nil)).To(Equal([]dggate.Action{refusal(2, dandeliongap.ReasonNotOwner, dggate.RuleRights)}))
-		Expect(g.Drained()).To(BeFalse())
-		done(g, 5*ms, 1, 5*ms)
-		Expect(g.Drained()).To(BeTrue())
-		Expect(g.Handover()).To(Equal(dggate.Handover{Known: true, Limit: 1, Normal: 5 * time.Millisecond}))
-		g.Grant(6*ms, 2, dggate.Handover{}, nil)
-		g.Await(6*ms, 2)
-		Expect(offer(g, 6*ms, 3, 0).Reason).To(Equal(dandeliongap.ReasonNotOwner))
-		g.Grant(7*ms, 3, dggate.Handover{}, nil)
-		g.Revoke(7*ms, 2, nil)
-		Expect(offer(g, 7*ms, 4, 0).Kind).To(Equal(dggate.Dispatch))
-	})
-	It("G2: requests would be lost or sent early while a former owner still sends", func() {
-		g := &dggate.Gate{}
-		g.Configure(dandeliongap.Replica{Slots: 2, ColdLimit: 2})
-		g.RightsUntil(time10s)
-		g.Await(0, 4)
-		Expect(offer(g, 0, 1, 0)).To(BeZero())
-		Expect(offer(g, ms, 2, 0)).To(BeZero())
-		Expect(g.Next()).To(Equal(deadline))
-		Expect(g.Tick(deadline, nil)).To(Equal([]dggate.Action{refusal(1, dandeliongap.ReasonNotOwner, dggate.RuleAwait)}))
-		Expect(g.Grant(deadline, 4, dggate.Handover{}, nil)).To(Equal([]dggate.Action{dispatch(2, ms, dggate.RuleOrder)}))
-	})
-	It("G3: a request would run after this VM's lease", func() {
-		g := newGate(1, 1)
-		g.RightsUntil(100 * ms)
-		Expect(offer(g, 0, 1, 0).Deadline).To(Equal(100 * ms))
-		offer(g, 0, 2, 0)
-		g.RightsUntil(50 * ms)
-		Expect(g.Tick(50*ms, nil)).To(Equal([]dggate.Action{refusal(2, dandeliongap.ReasonLease, dggate.RuleRightsEnd)}))
-	})
-})
+func pick[V any](m *model, from ...V) V { return rapid.SampledFrom(from).Draw(m.T, "choice") }
 
-var _ = Describe("limit", func() {
-	It("G4, G14: a cancelled or late request would free its slot while it still runs", func() {
-		g := newGate(1, 1)
-		offer(g, 0, 1, 0)
-		Expect(offer(g, 200*ms, 2, 0)).To(BeZero())
-		Expect(g.Cancel(201*ms, id(1), nil)).To(Equal([]dggate.Action{{Kind: dggate.CancelSent, ID: id(1), Rule: dggate.RuleCancel}}))
-		Expect(g.Cancel(201*ms, id(1), nil)).To(BeEmpty())
-		Expect(g.Tick(400*ms, nil)).To(BeEmpty())
-		Expect(fail(g, 401*ms, 1, dandeliongap.SubCancelled, dandeliongap.ReasonCancelled)).To(Equal([]dggate.Action{dispatch(2, 200*ms, dggate.RuleOrder)}))
-		offer(g, 402*ms, 3, 0)
-		Expect(g.Cancel(402*ms, id(3), nil)).To(Equal([]dggate.Action{refusal(3, dandeliongap.ReasonCancelled, dggate.RuleCancel)}))
-	})
-	It("G5: an unknown replica would get all its slots, or ramp up on cold answers", func() {
-		g := newGate(3, 0)
-		Expect(g.State()).To(Equal(dggate.Cold))
-		warm(g, dggate.RampAnswers)
-		Expect(g.State()).To(Equal(dggate.Ramping))
-		Expect(g.LimitRule()).To(Equal(dggate.RuleRamp))
-		warm(g, dggate.RampAnswers)
-		Expect(g.State()).To(Equal(dggate.Warm))
-		g = newGate(3, 0)
-		for i := range 3 * dggate.RampAnswers {
-			offer(g, 0, i, 0)
-			g.Done(0, id(i), dggate.Result{Status: answered, Cold: true, Latency: time.Millisecond}, nil)
-		}
-		Expect(g.Mark()).To(Equal(dandeliongap.Mark{Limit: 1, Cold: true}))
-	})
-	DescribeTable("G6: a replica that turned cold would get its warm load",
-		func(turn func(g *dggate.Gate), rule dggate.Rule) {
-			g := newGate(3, 3)
-			now := warm(g, 40)
-			for i := range 6 {
-				offer(g, now, i, 0)
-			}
-			turn(g)
-			Expect(g.Mark().Limit).To(Equal(dandeliongap.Slots(1)))
-			Expect(g.LimitRule()).To(Equal(rule))
-			for i := range 2 {
-				Expect(g.Mark().Busy).To(BeNumerically(">=", 2-i))
-				Expect(done(g, now+ms, i+1, 10*ms)).To(HaveLen(i))
-			}
-		},
-		Entry("cold mark", func(g *dggate.Gate) {
-			g.Done(401*ms, id(0), dggate.Result{Status: answered, Cold: true, Latency: 10 * time.Millisecond}, nil)
-		}, dggate.RuleCold),
-		Entry("lost connection", func(g *dggate.Gate) {
-			fail(g, 401*ms, 0, dandeliongap.SubUnknown, dandeliongap.ReasonConnection)
-		}, dggate.RuleLost),
-	)
-	It("G6: unmarked slowness would go unnoticed, or one straggler cost the capacity", func() {
-		g := newGate(1, 1)
-		g.Configure(dandeliongap.Replica{Slots: 2, ColdLimit: 1})
-		now := warm(g, 40)
-		for i := range dggate.SlowAnswers {
-			Expect(g.State()).To(Equal(dggate.Warm))
-			offer(g, now, i, 0)
-			done(g, now+60*ms, i, 60*ms)
-		}
-		Expect(g.State()).To(Equal(dggate.Cold))
-	})
-	It("G6, G7: a shed refusal would be answered with more load", func() {
-		g := newGate(3, 3)
-		offer(g, 0, 1, 0)
-		Expect(fail(g, ms, 1, dandeliongap.SubNotRun, dandeliongap.ReasonShed)).To(BeEmpty())
-		Expect(g.State()).To(Equal(dggate.Cold))
-		Expect(offer(g, 2*ms, 2, 0)).To(BeZero())
-		Expect(g.Next()).To(Equal(41 * ms))
-		Expect(g.Tick(41*ms, nil)).To(Equal([]dggate.Action{dispatch(2, 2*ms, dggate.RuleOrder)}))
-	})
-	It("G8: a lost replica would hold requests, get bursts of trials or return at full load", func() {
-		g := newGate(3, 3)
-		for i := range 5 {
-			offer(g, 0, i, 0)
-		}
-		for i := range 2 {
-			Expect(fail(g, ms, i, dandeliongap.SubUnknown, dandeliongap.ReasonConnection)).To(BeEmpty())
+func (m *model) random(i int) {
+	what := pick(m, "offer", "offer", "offer", "done", "done", "done", "wait%d", "tick")
+	if rapid.IntRange(0, 29).Draw(m.T, "rare") == 15 {
+		what = pick(m, "c%d", "await%d", "grant%d", "grant%d:9", "revoke%d", "end%d", "out%d", "drain%d", "slots%d")
+	}
+	n := 0
+	switch what {
+	case "offer":
+		class := pick(m, "o", "u", "a", "act")
+		m.open[id(i)] = map[string]dandeliongap.Class{"u": dandeliongap.ClassUrgent, "a": archive}[class]
+		text := fmt.Sprintf("%s%d:%d", class, i, pick(m, 0, 50, 300, 300, 5000))
+		m.step("%s", text)
+		if _, open := m.open[id(i)]; open && len(m.do(text)) > 0 {
+			m.Fatalf("an action for a duplicate of request %d", i)
 		}
-		Expect(fail(g, ms, 2, dandeliongap.SubUnknown, dandeliongap.ReasonConnection)).To(HaveLen(2))
-		Expect(g.State()).To(Equal(dggate.Lost))
-		Expect(offer(g, 2*ms, 5, 0).RetryAfter).To(BeNumerically(">", 0))
-		at, wait := 51*ms, 50*ms
-		for i := 10; i < 14; i++ {
-			Expect(offer(g, at-1, i+100, 0).Reason).To(Equal(dandeliongap.ReasonConnection))
-			Expect(offer(g, at, i, 0)).To(Equal(dispatch(i, at, dggate.RuleLost)))
-			Expect(offer(g, at, i+100, 0).Reason).To(Equal(dandeliongap.ReasonConnection))
-			fail(g, at, i, dandeliongap.SubNotRun, dandeliongap.ReasonConnection)
-			wait *= 2
-			at += wait
+		return
+	case "done":
+		if len(m.sent) == 0 {
+			return
 		}
-		acts := g.Offer(at, dggate.Request{ID: id(20), Action: true, Deadline: at + deadline}, nil)
-		Expect(acts[0].Reason).To(Equal(dandeliongap.ReasonConnection))
-		offer(g, at, 21, 0)
-		done(g, at, 21, ms)
-		Expect(g.State()).To(Equal(dggate.Cold))
-	})
-	It("G9: a leaving replica or zone would get new work, or return at full load", func() {
-		g := newGate(1, 1)
-		g.Configure(dandeliongap.Replica{Slots: 2, ColdLimit: 1})
-		warm(g, dggate.RampAnswers)
-		for i := range 3 {
-			offer(g, 100*ms, i, 0)
+		k := rapid.IntRange(0, len(m.sent)-1).Draw(m.T, "request")
+		sub := m.sent[k]
+		m.sent = append(m.sent[:k], m.sent[k+1:]...)
+		delete(m.open, sub)
+		kind := pick(m, "d", "d", "d", pick(m, "d", "cold", "shed", "lost", "timeout", "stopped", "leaving"))
+		m.step("%s%d:%d", kind, sub.Query, pick(m, 1, 5, 10, 100))
+		return
+	case "tick":
+		m.now = max(m.now, min(m.Next(), m.now+100*ms))
+		m.step("t")
+		if m.Next() <= m.now {
+			m.Fatalf("tick at %v leaves the next one at %v", m.now, m.Next())
 		}
-		Expect(g.SetZoneOut(100*ms, true, nil)).To(Equal([]dggate.Action{refusal(2, dandeliongap.ReasonZoneOut, dggate.RuleLeaving)}))
-		Expect(g.State()).To(Equal(dggate.Leaving))
-		g.SetZoneOut(101*ms, false, nil)
-		Expect(g.State()).To(Equal(dggate.Cold))
-		g.Done(110*ms, id(0), dggate.Result{Status: answered, Draining: true, Latency: time.Millisecond}, nil)
-		g.SetDraining(111*ms, false, nil)
-		Expect(offer(g, 112*ms, 4, 0)).To(Equal(refusal(4, dandeliongap.ReasonDraining, dggate.RuleLeaving)))
-		g.SetDraining(120*ms, true, nil)
-		g.SetDraining(130*ms, false, nil)
-		Expect(g.State()).To(Equal(dggate.Cold))
-		g.Configure(dandeliongap.Replica{Slots: 2, ColdLimit: 1, Leaving: true})
-		Expect(offer(g, 131*ms, 5, 0).Reason).To(Equal(dandeliongap.ReasonDraining))
-	})
-})
+		return
+	case "wait%d":
+		n = pick(m, 0, 1, 10, 50)
+	case "c%d":
+		n = rapid.IntRange(0, i).Draw(m.T, "id")
+	case "await%d":
+		n = m.epoch + 1
+	case "grant%d", "grant%d:9":
+		m.epoch++
+		m.held, n = true, m.epoch
+	case "revoke%d":
+		n = m.epoch - pick(m, 0, 1) // or of an earlier epoch
+		m.held = m.held && n < m.epoch
+	case "end%d":
+		m.end = m.now/ms*ms + pick(m, 0, 100*ms, 10000*ms, 10000*ms)
+		n = int(m.end / ms)
+	case "out%d":
+		m.out = !m.out
+		n = map[bool]int{true: 1}[m.out]
+	case "drain%d":
+		m.step("drain1")
+		n = pick(m, 0, 0, 1)
+	case "slots%d":
+		n = pick(m, 0, 2, 3, 9)
+	}
+	m.step(what, n)
+}
 
-var _ = Describe("queue", func() {
-	It("G10, G11: urgent requests would wait for others, or archive ones for ever", func() {
-		g := newGate(1, 1)
-		offer(g, 0, 0, 0)
-		g.Offer(0, dggate.Request{ID: id(1), Deadline: time10s - ms}, nil)
-		offer(g, ms, 2, archive)
-		for i := 3; i < 45; i++ {
-			offer(g, ms, i, urgent)
+// Guards the promises of the gate against any order of events: limit, rights,
+// one end for each request, a bounded wait of archive requests.
+func TestAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{T: t, end: 10000 * ms, epoch: 1, held: true, open: map[dandeliongap.SubID]dandeliongap.Class{}}
+		m.run(three)
+		for i := range 300 {
+			m.random(i)
 		}
-		offer(g, ms, 45, 0)
-		var order []int
-		for last := 0; len(order) < 45; last = order[len(order)-1] {
-			acts := done(g, 2*ms, last, 1)
-			Expect(acts).To(HaveLen(1))
-			order = append(order, int(acts[0].ID.Query))
+		m.held = false
+		m.step("revoke%d", m.epoch+1)
+		if len(m.open) != len(m.sent) {
+			t.Fatalf("%d requests without an end", len(m.open)-len(m.sent))
 		}
-		Expect(order[:3]).To(Equal([]int{3, 4, 5}))
-		Expect(order).To(HaveExactElements(append(order[:43:43], 45, 1)))
-		Expect(order[2*dggate.ArchiveEvery-1]).To(Equal(2))
 	})
-	It("G12: requests that cannot meet their deadline would use slots or wait in vain", func() {
-		g := newGate(1, 1)
-		now := warm(g, 40)
-		late := func(n int, d dandeliongap.Instant) []dggate.Action {
-			return g.Offer(now, dggate.Request{ID: id(n), Class: urgent, Deadline: now + d}, nil)
-		}
-		Expect(late(1, 5*ms)).To(HaveExactElements(HaveField("Kind", dggate.Dispatch)))
-		Expect(late(2, 15*ms)).To(HaveExactElements(And(HaveField("Reason", dandeliongap.ReasonOverload), HaveField("RetryAfter", Not(BeZero())))))
-		Expect(late(3, 25*ms)).To(BeEmpty())
-		Expect(g.Next()).To(BeNumerically("~", now+15*ms, ms))
-		Expect(g.Tick(g.Next(), nil)).To(HaveExactElements(HaveField("Rule", dggate.RuleDeadline)))
-		Expect(late(4, -ms)).To(HaveExactElements(HaveField("Reason", dandeliongap.ReasonDeadline)))
-	})
-	It("G13: a queue would grow without bound before a service time is known", func() {
-		g := newGate(1, 1)
-		for i := range dggate.QueuePerSlot + 1 {
-			Expect(offer(g, 0, i, archive).Kind).NotTo(Equal(dggate.Refuse))
-		}
-		Expect(offer(g, 0, 100, archive)).To(HaveField("Rule", dggate.RuleBound))
-		Expect(g.Offer(0, dggate.Request{ID: id(1), Deadline: deadline}, nil)).To(BeEmpty(), "a duplicate of a queued request")
-	})
-})
+}
