--- a/dgnode/exchange.go
+++ b/dgnode/exchange.go
@@ -176,7 +176,7 @@
 	if joining, ok := m.GetJoining().Value(); ok && address == "" {
 		address = joining.PeerAddress
 	}
-	if address == "" || id == c.self.ID || c.pulling[id] || !c.behind(m) {
+	if address == "" || id == c.self.ID || c.pulling[id] || !c.set.Behind(digestOf(m)) {
 		return
 	}
 	c.pulling[id] = true
@@ -194,17 +194,6 @@
 	})
 }
 
-// behind tells whether the digest of m has a version that this VM lacks.
-func (c *control) behind(m *dgwire.ExchangeMessage) bool {
-	for _, o := range m.GetDigest() {
-		obj, ok := c.set.Get(dandeliongap.ObjectName(o.GetName()))
-		if !ok || obj.Version < dandeliongap.Version(o.GetVersion()) {
-			return true
-		}
-	}
-	return false
-}
-
 // watch waits at the platform for changes of the kind "state".
 func (c *control) watch(a dgrelay.Action) {
 	c.call(watchWait+callLimit, func(ctx context.Context) {
--- a/dgnode/members.go
+++ b/dgnode/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -61,11 +60,7 @@
 
 // renew writes this VM's lease object, directly or through a peer.
 func (c *control) renew(a dgmember.Action) {
-	body, err := json.Marshal(a.Lease)
-	if err != nil {
-		c.log.Error("lease not encoded", "Error", err)
-		return
-	}
+	body := dgmember.EncodeLease(a.Lease)
 	via := c.address(a.Via)
 	c.call(callLimit, func(ctx context.Context) {
 		var version dandeliongap.Version
@@ -117,18 +112,12 @@
 			if err != nil && !errors.Is(err, dandeliongap.ErrNotFound) {
 				return c.member.RenewUnreachable(now, a.Lease.Attempt, dst)
 			}
-			lease, ok := decodeLease(obj)
-			return c.member.LeaseReadBack(now, err == nil && ok, obj.Version, lease, dst)
+			lease, lerr := dgmember.DecodeLease(obj.Body)
+			return c.member.LeaseReadBack(now, err == nil && lerr == nil, obj.Version, lease, dst)
 		})
 	})
 }
 
-func decodeLease(obj dandeliongap.Object) (dgmember.Lease, bool) {
-	var lease dgmember.Lease
-	err := json.Unmarshal(obj.Body, &lease)
-	return lease, err == nil
-}
-
 // readLease reads the lease object of a suspect.
 func (c *control) readLease(a dgmember.Action) {
 	c.call(callLimit, func(ctx context.Context) {
@@ -138,11 +127,14 @@
 			if err != nil && !errors.Is(err, dandeliongap.ErrNotFound) {
 				return c.member.SuspectFailed(now, a.Member, dst)
 			}
-			lease, ok := decodeLease(obj)
-			if err == nil && !ok {
+			if err != nil {
+				return c.member.SuspectLease(now, a.Member, false, 0, dgmember.Lease{}, dst)
+			}
+			lease, err := dgmember.DecodeLease(obj.Body)
+			if err != nil {
 				return c.member.SuspectFailed(now, a.Member, dst)
 			}
-			return c.member.SuspectLease(now, a.Member, err == nil, obj.Version, lease, dst)
+			return c.member.SuspectLease(now, a.Member, true, obj.Version, lease, dst)
 		})
 	})
 }
--- a/dgnode/owners.go
+++ b/dgnode/owners.go
@@ -156,10 +156,7 @@
 // plan writes the placement table when it has to change and it is this VM's turn
 // (L1).
 func (c *control) plan(now dandeliongap.Instant) {
-	if c.planning || now < c.planDue || c.deployment == nil || !c.member.Listed() {
-		return
-	}
-	if _, ok := c.member.Rights(now); !ok || !c.member.ReachesPlatform(now) {
+	if c.planning || now < c.planDue || c.deployment == nil || !c.member.Listed() || !c.member.ReachesPlatform(now) {
 		return
 	}
 	c.planDue = now.Add(planEvery)
@@ -172,33 +169,14 @@
 	if c.planSince == 0 {
 		c.planSince = now
 	}
-	if now < c.planSince.Add(time.Duration(c.rank(now))*rankStep) {
+	if !c.member.MayWrite(now, c.planSince) {
 		return
 	}
 	c.writeTable(in, rows, decisions)
 }
 
-const (
-	// planEvery is the time between two looks at the placement.
-	planEvery = 250 * time.Millisecond
-	// rankStep is how much longer each next rank waits before it writes the
-	// placement table (L1).
-	rankStep = time.Second
-)
-
-// rank counts the members of lower rank that this VM hears of.
-func (c *control) rank(now dandeliongap.Instant) int {
-	n := 0
-	for _, m := range c.list.Members {
-		if m.ID == c.self.ID {
-			break
-		}
-		if c.member.Heard(now, m.ID) {
-			n++
-		}
-	}
-	return n
-}
+// planEvery is the time between two looks at the placement.
+const planEvery = 250 * time.Millisecond
 
 func (c *control) planInput() dgplacement.Input {
 	return dgplacement.Input{
