--- a/dggate/api.go
+++ b/dggate/api.go
@@ -50,7 +50,7 @@
 //     classes keep a minimum distance, so that the slots become free one after
 //     the other and an urgent request waits a shorter time for the first one.
 //     Nothing is reserved for urgent requests: keeping one slot of three free
-//     cost 31% of the goodput at 5% urgent requests, pacing 3%.
+//     cost 31% of the goodput at 5% urgent requests, pacing 3 to 6%.
 package dggate
 
 import (
--- a/dggate/gate_test.go
+++ b/dggate/gate_test.go
@@ -1,6 +1,7 @@
 package dggate_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -13,6 +14,12 @@
 	"dandeliongap.example/dandeliongap/dggate"
 )
 
+// A fixed seed gives the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+}
+
 func TestGate(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "dggate")
