Keep an awaited epoch apart from the held one

A VM whose row moved away and back awaits the later epoch while it still holds the earlier one. Its release of the earlier epoch refused the requests that should wait. Refusals also no longer count as service times.

--- a/dggate/admit.go
+++ b/dggate/admit.go
@@ -55,7 +55,7 @@
 // blocked tells why no request at all may be sent or queued (G1, G3, G9).
 func (g *Gate) blocked(now dandeliongap.Instant) (dandeliongap.Reason, Rule) {
 	switch {
-	case !g.held && !g.awaiting:
+	case !g.held && !g.awaiting():
 		return dandeliongap.ReasonNotOwner, RuleRights
 	case g.zoneOut:
 		return dandeliongap.ReasonZoneOut, RuleLeaving
--- a/dggate/done.go
+++ b/dggate/done.go
@@ -45,7 +45,7 @@
 		g.answered(f, res)
 	case res.Status == dandeliongap.SubNotRun && res.Reason == dandeliongap.ReasonShed:
 		g.shed(now, res.RetryAfter, excess)
-	case res.Latency > g.work.mean && res.Reason != dandeliongap.ReasonConnection:
+	case res.Status != dandeliongap.SubNotRun && res.Latency > g.work.mean && res.Reason != dandeliongap.ReasonConnection:
 		// The request would have taken at least this long.
 		g.work.add(res.Latency, workOutlier)
 		g.compare(res.Latency)
--- a/dggate/gate.go
+++ b/dggate/gate.go
@@ -24,11 +24,12 @@
 	floor   dandeliongap.Slots // cold limit
 	due     bool               // a setter changed what the next event must apply
 
-	held, awaiting bool
-	known          bool // rights were held at some time
-	epoch          dandeliongap.Epoch
-	revoked        dandeliongap.Epoch
-	end            dandeliongap.Instant
+	held    bool
+	known   bool // rights were held at some time
+	epoch   dandeliongap.Epoch
+	awaited dandeliongap.Epoch
+	revoked dandeliongap.Epoch
+	end     dandeliongap.Instant
 
 	limit     dandeliongap.Slots
 	limitRule Rule
@@ -85,26 +86,26 @@
 }
 
 // Await reports that the placement row names this VM under epoch while former
-// owners have not released the replica. Requests are queued until Grant.
+// owners have not released the replica. Requests are queued until Grant; if the
+// row moves on before, the driver calls Revoke. Rights that are held under an
+// earlier epoch stay in force until they are revoked.
 func (g *Gate) Await(_ dandeliongap.Instant, epoch dandeliongap.Epoch) {
-	if g.held || epoch <= g.revoked {
-		return
-	}
-	g.awaiting = true
-	g.epoch = max(g.epoch, epoch)
+	g.awaited = max(g.awaited, epoch)
 }
 
+func (g *Gate) awaiting() bool { return !g.held && g.awaited > g.revoked }
+
 // Grant begins the rights under epoch. RightsUntil must have been called, or
 // requests stay refused with ReasonLease. An epoch that was revoked is ignored.
 func (g *Gate) Grant(now dandeliongap.Instant, epoch dandeliongap.Epoch, h Handover, dst []Action) []Action {
-	if epoch <= g.revoked || epoch < g.epoch {
+	if epoch <= g.revoked || epoch < max(g.epoch, g.awaited) {
 		return dst
 	}
 	g.epoch = epoch
 	if g.held {
 		return dst
 	}
-	g.held, g.awaiting, g.known = true, false, true
+	g.held, g.known = true, true
 	g.lost, g.fails, g.slow = false, 0, 0
 	g.turnCold(RuleRamp)
 	if h.Known {
@@ -123,7 +124,7 @@
 func (g *Gate) Revoke(now dandeliongap.Instant, epoch dandeliongap.Epoch, dst []Action) []Action {
 	g.revoked = max(g.revoked, epoch)
 	if g.epoch <= g.revoked {
-		g.held, g.awaiting = false, false
+		g.held = false
 	}
 	return g.settle(now, dst)
 }
--- a/dggate/script_test.go
+++ b/dggate/script_test.go
@@ -94,6 +94,7 @@
 	"cold":    done(dggate.Result{Status: answered, Cold: true}),
 	"leaving": done(dggate.Result{Status: answered, Draining: true}),
 	"shed":    done(dggate.Result{Status: dandeliongap.SubNotRun, Reason: dandeliongap.ReasonShed, RetryAfter: 40 * time.Millisecond}),
+	"gone":    done(dggate.Result{Status: dandeliongap.SubNotRun, Reason: dandeliongap.ReasonVersionGone}),
 	"lost":    done(dggate.Result{Reason: dandeliongap.ReasonConnection}),
 	"timeout": done(dggate.Result{Reason: dandeliongap.ReasonDeadline}),
 	"stopped": done(dggate.Result{Status: dandeliongap.SubCancelled, Reason: dandeliongap.ReasonCancelled}),
