--- a/dgbackend/client_test.go
+++ b/dgbackend/client_test.go
@@ -341,6 +341,19 @@
 		Expect(c.Stats().Open).To(BeEquivalentTo(3))
 	})
 
+	It("closes free connections above the slots", func() {
+		o := options(1, 6)
+		o.Queue = 10
+		o.Service.Base = 5 * time.Millisecond
+		start(o)
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() { send(search()) })
+		}
+		wg.Wait()
+		Eventually(func() int64 { return c.Stats().Open }, patience).Should(BeEquivalentTo(1))
+	})
+
 	It("cancels at the server and returns when the slot is free", func() {
 		o := options(1, 3)
 		o.Service.Base = patience
--- a/dgclient/client_test.go
+++ b/dgclient/client_test.go
@@ -230,10 +230,12 @@
 		Expect(err).NotTo(MatchError(dandeliongap.ErrNotRun))
 		Expect(r.Outcome).To(Equal(dandeliongap.OutcomeUnknown))
 		Expect(total()).To(Equal(1))
+		_, err = act("other") // takes the next turn, so that the repeat would come back
+		Expect(err).To(HaveOccurred())
 		again, err := act("k")
 		Expect(err).To(HaveOccurred())
 		Expect(again.Address).NotTo(Equal(r.Address))
-		Expect(total()).To(Equal(2))
+		Expect(total()).To(Equal(3))
 	})
 
 	It("moves an action on from an address that refuses the connection", func() {
--- a/dgstandin/backend_test.go
+++ b/dgstandin/backend_test.go
@@ -146,12 +146,13 @@
 
 	It("answers a DELETE only when the slot is free", func() {
 		start(dgstandin.BackendOptions{Replica: replica})
-		hold(2)
-		for i := range 2 {
-			Expect(mustAsk("DELETE", b.Address(), fmt.Sprintf("/query/%d", 1000+i), "").status).To(Equal(200))
-			Expect(b.Busy()).To(Equal(1 - i))
+		const rounds = 100 // a free slot can be early by chance in one of them
+		for range rounds {
+			hold(1)
+			Expect(mustAsk("DELETE", b.Address(), "/query/1000", "").status).To(Equal(200))
+			Expect(b.Busy()).To(BeZero())
 		}
-		Expect(b.Counters().Cancelled).To(BeEquivalentTo(2))
+		Expect(b.Counters().Cancelled).To(BeEquivalentTo(rounds))
 	})
 
 	It("does not run a request whose DELETE overtook it", func() {
