--- a/dgrelay/relay_test.go
+++ b/dgrelay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"flag"
 	"math/rand/v2"
+	"os"
 	"reflect"
 	"testing"
 	"time"
@@ -15,6 +17,18 @@
 	"dandeliongap.example/dandeliongap/dgrelay"
 )
 
+// TestMain fixes the seed of rapid, unless one is given, so that every run of the
+// tests gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func TestRelay(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "dgrelay")
