--- a/dgdaemon/daemon.go
+++ b/dgdaemon/daemon.go
@@ -128,7 +128,7 @@
 	}
 	backend := dgbackend.New(dgbackend.Options{})
 	for {
-		n, err := dgnode.Start(dgnode.Options{Settings: s, Store: store, Backend: backend, Log: logger, Decisions: decisions})
+		n, err := dgnode.Start(dgnode.Options{Settings: s, Store: store, VMs: store, Backend: backend, Log: logger, Decisions: decisions})
 		if err != nil {
 			return errors.Join(trace.Wrap(err), backend.Close(), store.Close())
 		}
--- a/dgdemo/cluster.go
+++ b/dgdemo/cluster.go
@@ -167,6 +167,7 @@
 	v.node, err = dgnode.Start(dgnode.Options{
 		Settings:       s,
 		Store:          v.store,
+		VMs:            v.store,
 		Backend:        v.backend,
 		Decisions:      c.options.Log,
 		Log:            c.logger(v.name),
--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -56,7 +56,7 @@
 		if m.State != dandeliongap.MemberLive || v.ZonesOut[m.Zone] {
 			continue
 		}
-		if m.ID == v.Self && (n.busy() || n.stopping.Load()) {
+		if m.ID == v.Self && (n.busy() || n.stopping.Load() || n.control.vmLeaving.Load()) {
 			continue
 		}
 		addresses = append(addresses, m.CallerAddress)
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -41,6 +41,7 @@
 	peers    *dgpeer.Sender
 	gates    *gates
 	backend  dandeliongap.BackendClient
+	vms      dandeliongap.VMList // nil: none
 	log      *log.Logger
 	stats    *stats
 	view     *atomic.Pointer[dandeliongap.View]
@@ -52,6 +53,8 @@
 	events   chan func(now dandeliongap.Instant)
 	// zoneOutAt is the Instant at which this VM's zone was taken out.
 	zoneOutAt atomic.Int64
+	// vmLeaving tells that the platform's VM list shows this VM as leaving.
+	vmLeaving atomic.Bool
 
 	rng      *rand.Rand
 	member   *dgmember.State
@@ -74,6 +77,7 @@
 	planDue    dandeliongap.Instant
 	planSince  dandeliongap.Instant
 	nextHealth dandeliongap.Instant
+	nextVMs    dandeliongap.Instant
 	pulling    map[dandeliongap.MemberID]bool
 	replies    map[releaseKey][]chan dgplacement.Action
 	waiting    map[dandeliongap.ReplicaID]dgplacement.Action // grants that wait for the configuration
@@ -164,6 +168,7 @@
 	c.perform()
 	c.plan(now)
 	c.askHealth(now)
+	c.readVMList(now)
 	c.updateRights(now)
 	if c.dirty || c.servingChanged(now) {
 		c.publish(now)
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -48,6 +48,8 @@
 	Store    dandeliongap.ObjectStore
 	Backend  dandeliongap.BackendClient
 	Log      *log.Logger
+	// VMs is the platform's VM list; nil: none.
+	VMs dandeliongap.VMList
 	// Decisions receives the log lines of the request path; nil: none. It must
 	// take whole lines from several goroutines at a time.
 	Decisions io.Writer
@@ -142,6 +144,7 @@
 		self:     self,
 		store:    o.Store,
 		backend:  o.Backend,
+		vms:      o.VMs,
 		log:      o.Log,
 		stats:    n.stats,
 		view:     &n.view,
