--- /dev/null
+++ b/dgtrial/doc.go
@@ -0,0 +1,62 @@
+// Package dgtrial measures the decisions of the request path on a virtual clock.
+// It runs one dgfanout.Planner per entry VM and one dggate.Gate per replica
+// unchanged, between fake backend servers and open-loop callers, and compares
+// the chosen policy with the plain baseline (dgfanout rule R16) on the same
+// seed. It has no goroutine, clock or network connection.
+//
+// The baseline replaces the decisions of the entry VM only. Its gates are the
+// same, because without them the fake servers would receive more requests than
+// slots and the comparison would measure the gates.
+//
+// Model.
+//
+//	T1  Each replica is owned by a VM of its zone, in turn among the VMs of the
+//	    zone. Owners do not change during a run.
+//	T2  A message takes no time inside a VM, HopDelay inside a zone and the zone
+//	    delay between zones, each plus up to JitterShare. Messages between two
+//	    VMs can overtake each other. New connections cost nothing.
+//	T3  Service times are lognormal with mean ServiceMean and deviation
+//	    ServiceSigma of the logarithm. A straggler takes StragglerFactor times
+//	    as long.
+//	T4  A cold server takes ColdFactor times as long, or OverColdFactor times for
+//	    a request that comes while ColdLimit requests run, and sheds a request
+//	    that comes while more than that run. It is warm after WarmAnswers
+//	    answers to requests within the limit. Its answers carry the cold mark.
+//	T5  A lost server ends what runs and every later request with a failed
+//	    connection. A silent one gives no answer, and the owner waits until the
+//	    deadline.
+//	T6  A cancelled request frees its slot when the cancellation reaches the
+//	    server.
+//	T7  Arrivals are a Poisson process that does not wait for answers. Each goes
+//	    to a random entry VM. Urgent searches are UrgentShare of them and archive
+//	    searches ArchiveShare; archive searches have ArchiveDeadlines times the
+//	    deadline of the service.
+//	T8  A zone that is taken out or returned is known to each VM after a random
+//	    time up to ViewDelay. Callers avoid its VMs after CallerDelay. Its
+//	    servers return cold.
+//
+// Quantities.
+//
+//   - Capacity, in searches per second: the lowest number of slots of any leaf
+//     of the group, divided by the mean service time. A search sends one
+//     sub-request to each leaf, so this is slots / mean service time /
+//     sub-requests per search when all leaves have equal numbers of slots.
+//   - Load: offered searches per second as a share of the capacity. Stragglers,
+//     hedges and retries come on top.
+//   - Latency of a search: from its arrival at the entry VM to its Finish
+//     action. A search that ends without an answer counts as its deadline.
+//     Searches refused as not run have no latency.
+//   - Extra load: attempts beyond the first one for each shard, as a share of
+//     first attempts.
+//   - Lost search: one that was not answered with all parts of the index.
+//   - Goodput: searches answered with all parts within their deadline, per
+//     second of arrival time, as a share of the capacity.
+//   - Inexact coverage: a search whose Merged is not the number of parts in the
+//     answers that were delivered to its planner before it finished.
+//   - False refusal: a search with the outcome "not run" of which a server
+//     started at least one attempt, before or after the refusal.
+//   - Cold excess: a request that a cold server received above its cold limit
+//     and that its owner sent after the first response that followed the turn
+//     had reached it, or beyond the number that could be under way when the
+//     server turned cold (slots less the requests then in the server).
+package dgtrial
--- /dev/null
+++ b/dgtrial/session.go
@@ -0,0 +1,40 @@
+package dgtrial
+
+import (
+	"io"
+	"time"
+
+	dandeliongap "dandeliongap.example/dandeliongap"
+)
+
+// Times of a session: load from which the planners learn, a pause in which all
+// of it ends, and the search that is written out.
+const (
+	sessionWarmUp = 3 * time.Second
+	sessionSearch = sessionWarmUp + time.Second
+)
+
+// Session writes one search of the first entry VM to out: the request, each
+// decision with its rule, the answers of attempts and the answer to the caller.
+// The planners have learned from a load at spareLoad before. The first
+// sub-request of the search to the straggler's service is StragglerFactor times
+// slower, and the lost replica refuses connections from then on. Its error is
+// ErrNotFound if the group, service or replica does not exist.
+func Session(out io.Writer, t Target, straggler dandeliongap.ServiceName, lost dandeliongap.ReplicaID, seed uint64) error {
+	b, err := newBench(t, Options{Seed: seed})
+	if err != nil {
+		return err
+	}
+	s := newSim(t.Deployment, b.group, b.at(spareLoad, sessionWarmUp), t.ZoneDelay, seed)
+	if t.Deployment.Services[straggler] == nil || s.sites[lost] == nil {
+		return dandeliongap.ErrNotFound
+	}
+	s.at(dandeliongap.Instant(sessionSearch), func() {
+		s.out = out
+		s.slowNext = straggler
+		s.sites[lost].server.lose(false)
+		s.vms[0].start(dandeliongap.ClassOrdinary)
+	})
+	s.run()
+	return nil
+}
--- /dev/null
+++ b/dgtrial/sim.go
@@ -0,0 +1,245 @@
+package dgtrial
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	dandeliongap "dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgfanout"
+	"dandeliongap.example/dandeliongap/dggate"
+)
+
+// Network, callers and size of a run (T1, T2, T7, T8).
+const (
+	EntryVMs         = 6
+	HopDelay         = 50 * time.Microsecond
+	JitterShare      = 0.2
+	UrgentShare      = 0.1
+	ArchiveShare     = 0.1
+	ArchiveDeadlines = 10
+	ViewDelay        = 2 * time.Second
+	CallerDelay      = 2 * time.Second
+	partsPerLeaf     = 2
+	indexVersion     = 1
+)
+
+const never = dandeliongap.Instant(math.MaxInt64)
+
+// load describes the callers and servers of one run.
+type load struct {
+	Rate       float64 // searches per second; 0: none
+	Urgent     float64 // share of urgent searches
+	Archive    float64 // share of archive searches
+	Stragglers float64 // share of sub-requests
+	Plain      bool
+	Length     time.Duration // of the arrivals
+}
+
+// sim is one run.
+type sim struct {
+	now      dandeliongap.Instant
+	queue    events
+	load     load
+	group    *dandeliongap.Service
+	zoneHop  time.Duration
+	rng      *rand.Rand // delays
+	arrivals *rand.Rand
+	vms      []*vm
+	open     []*vm // entry VMs that callers use
+	sites    map[dandeliongap.ReplicaID]*site
+	order    []*site // by replica id
+	bodies   []dgfanout.Body
+	tally    tally
+	slowNext dandeliongap.ServiceName // its next request is a straggler; empty: none
+	out      io.Writer                // trace; nil: none
+}
+
+// newSim prepares a run of the deployment's group. The streams of random
+// numbers for arrivals and for each server depend on the seed only, so that two
+// policies meet the same arrivals.
+func newSim(d *dandeliongap.Deployment, group *dandeliongap.Service, l load, zoneHop time.Duration, seed uint64) *sim {
+	s := &sim{
+		load: l, group: group, zoneHop: zoneHop,
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		arrivals: rand.New(rand.NewPCG(seed, 2)),
+		sites:    map[dandeliongap.ReplicaID]*site{},
+	}
+	base := dandeliongap.View{
+		Deployment: d, Serving: true,
+		Members:   map[dandeliongap.MemberID]dandeliongap.Member{},
+		Placement: map[dandeliongap.ReplicaID]dandeliongap.Placement{},
+		Catalog:   dandeliongap.Catalog{group.Name: {s.snapshot()}},
+	}
+	for i := range EntryVMs {
+		v := &vm{sim: s, id: dandeliongap.MemberID(fmt.Sprintf("vm-%d", i+1)), entry: uint64(i + 1), zone: d.Zones[i%len(d.Zones)]}
+		v.rng = rand.New(rand.NewPCG(seed, 100+uint64(i)))
+		s.vms = append(s.vms, v)
+		base.Members[v.id] = dandeliongap.Member{ID: v.id, Zone: v.zone}
+	}
+	s.open = s.vms
+	for _, name := range group.Leaves {
+		for _, r := range d.Services[name].Replicas {
+			s.addSite(r, &base, seed)
+		}
+	}
+	for _, v := range s.vms {
+		view := base
+		view.Self = v.id
+		v.view = &view
+	}
+	return s
+}
+
+func (s *sim) snapshot() dandeliongap.Snapshot {
+	snap := dandeliongap.Snapshot{Version: indexVersion}
+	for _, name := range s.group.Leaves {
+		shard := dandeliongap.Shard{Service: name}
+		var body dgfanout.Body
+		for range partsPerLeaf {
+			part := dandeliongap.PartID(snap.Parts)
+			shard.Parts = append(shard.Parts, part)
+			body.Parts = append(body.Parts, dgfanout.Part{Part: part})
+			snap.Parts++
+		}
+		snap.Shards = append(snap.Shards, shard)
+		s.bodies = append(s.bodies, body)
+	}
+	return snap
+}
+
+// addSite gives the replica to a VM of its zone (T1) and starts it warm.
+func (s *sim) addSite(r dandeliongap.Replica, base *dandeliongap.View, seed uint64) {
+	near := slices.DeleteFunc(slices.Clone(s.vms), func(v *vm) bool { return v.zone != r.Zone })
+	if len(near) == 0 {
+		near = s.vms
+	}
+	n := len(s.order)
+	st := &site{sim: s, replica: r, owner: near[n/2%len(near)], work: map[dandeliongap.SubID]*work{}, timer: never}
+	st.server = server{sim: s, site: st, rng: rand.New(rand.NewPCG(seed, 1000+uint64(n))), slots: int(r.Slots), limit: int(r.ColdLimit)}
+	st.gate.Configure(r)
+	st.gate.RightsUntil(dggate.Never)
+	st.gate.Grant(0, 1, dggate.Handover{Known: true, Limit: r.Slots}, nil)
+	s.sites[r.ID] = st
+	s.order = append(s.order, st)
+	base.Placement[r.ID] = dandeliongap.Placement{Replica: r.ID, Owner: st.owner.id, Epoch: 1}
+}
+
+// capacity returns the searches per second that the slots allow.
+func capacity(d *dandeliongap.Deployment, group *dandeliongap.Service) float64 {
+	least := math.MaxInt
+	for _, name := range group.Leaves {
+		slots := 0
+		for _, r := range d.Services[name].Replicas {
+			slots += int(r.Slots)
+		}
+		least = min(least, slots)
+	}
+	return float64(least) / ServiceMean.Seconds()
+}
+
+func (s *sim) at(t dandeliongap.Instant, do func()) { s.queue.push(max(t, s.now), do) }
+
+func (s *sim) after(d time.Duration) dandeliongap.Instant { return s.now.Add(d) }
+
+// delay returns the time of one message between two zones (T2).
+func (s *sim) delay(from, to dandeliongap.ZoneName) time.Duration {
+	d := HopDelay
+	if from != to {
+		d = s.zoneHop
+	}
+	return d + time.Duration(JitterShare*s.rng.Float64()*float64(d))
+}
+
+// message delivers an event from one VM to another.
+func (s *sim) message(from, to *vm, do func()) {
+	if from == to {
+		s.at(s.now, do)
+		return
+	}
+	s.at(s.after(s.delay(from.zone, to.zone)), do)
+}
+
+// run runs all arrivals and waits for the last event.
+func (s *sim) run() {
+	if s.load.Rate > 0 {
+		s.at(s.gap(), s.arrive)
+	}
+	for len(s.queue.heap) > 0 {
+		e := s.queue.pop()
+		s.now = e.at
+		e.do()
+	}
+	for _, sr := range s.tally.refusals {
+		if sr.ran > 0 {
+			s.tally.falseRefusals++
+		}
+	}
+}
+
+func (s *sim) gap() dandeliongap.Instant {
+	return s.after(time.Duration(s.arrivals.ExpFloat64() / s.load.Rate * float64(time.Second)))
+}
+
+// arrive starts a search at a random entry VM and schedules the next one (T7).
+func (s *sim) arrive() {
+	if s.now >= dandeliongap.Instant(s.load.Length) {
+		return
+	}
+	class := dandeliongap.ClassOrdinary
+	switch x := s.arrivals.Float64(); {
+	case x < s.load.Urgent:
+		class = dandeliongap.ClassUrgent
+	case x < s.load.Urgent+s.load.Archive:
+		class = dandeliongap.ClassArchive
+	}
+	v := s.open[int(s.arrivals.Float64()*float64(len(s.open)))]
+	v.start(class)
+	s.at(s.gap(), s.arrive)
+}
+
+// setZone takes a zone out or returns it (T8).
+func (s *sim) setZone(zone dandeliongap.ZoneName, out bool) {
+	for _, v := range s.vms {
+		v := v
+		view := *v.view
+		view.ZonesOut = map[dandeliongap.ZoneName]bool{zone: out}
+		s.at(s.after(time.Duration(s.rng.Float64()*float64(ViewDelay))), func() { v.adopt(&view, zone, out) })
+	}
+	if !out {
+		for _, st := range s.order {
+			if st.replica.Zone == zone {
+				st.server.turnCold()
+			}
+		}
+	}
+	s.at(s.after(CallerDelay), func() {
+		s.open = s.vms
+		if out {
+			s.open = slices.DeleteFunc(slices.Clone(s.vms), func(v *vm) bool { return v.zone == zone })
+		}
+	})
+}
+
+// adopt puts a new view in force on a VM and at its gates.
+func (v *vm) adopt(view *dandeliongap.View, zone dandeliongap.ZoneName, out bool) {
+	v.view = view
+	for _, st := range v.sim.order {
+		if st.owner == v && st.replica.Zone == zone {
+			st.setZoneOut(out)
+		}
+	}
+}
+
+// trace writes one line of a session.
+func (s *sim) trace(format string, args ...any) {
+	fmt.Fprintf(s.out, "%9.3f ms  %s\n", float64(s.now)/1e6, fmt.Sprintf(format, args...))
+}
+
+// name returns a short form of the id of an attempt: query, shard and attempt.
+func name(id dandeliongap.SubID) string {
+	return fmt.Sprintf("%d.%d.%d", id.Query, id.Shard, id.Attempt)
+}
--- /dev/null
+++ b/dgtrial/trial.go
@@ -0,0 +1,134 @@
+package dgtrial
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	dandeliongap "dandeliongap.example/dandeliongap"
+)
+
+// Target is a deployment to measure.
+type Target struct {
+	Deployment *dandeliongap.Deployment
+	// ZoneDelay is the time of a message between two zones.
+	ZoneDelay time.Duration
+	// Group is the searched group. Default: the first by name that accepts no
+	// actions.
+	Group dandeliongap.ServiceName
+}
+
+// Options of a measurement.
+type Options struct {
+	Targets  []Target
+	Cases    []string // names from Cases; none: all of them
+	Seed     uint64
+	Progress func(what string) // called before each run; nil: none
+}
+
+// Run measures the cases for each target and returns one row for each pair. Its
+// error is ErrNotFound for an unknown case or group.
+func Run(o Options) (Report, error) {
+	names := o.Cases
+	if len(names) == 0 {
+		names = Cases()
+	}
+	report := Report{Seed: o.Seed, Held: true}
+	for _, t := range o.Targets {
+		b, err := newBench(t, o)
+		if err != nil {
+			return report, err
+		}
+		for _, name := range names {
+			i := slices.IndexFunc(cases, func(c trialCase) bool { return c.name == name })
+			if i < 0 {
+				return report, fmt.Errorf("case %q: %w", name, dandeliongap.ErrNotFound)
+			}
+			row := Row{Case: name, Deployment: t.Deployment.Name, Held: true}
+			cases[i].measure(b, &row)
+			report.Rows = append(report.Rows, row)
+			report.Held = report.Held && row.Held
+		}
+	}
+	return report, nil
+}
+
+// bench runs the cases of one target.
+type bench struct {
+	target   Target
+	group    *dandeliongap.Service
+	capacity float64
+	seed     uint64
+	progress func(string)
+	plainRun map[load]*sim // runs without faults, shared between cases
+}
+
+func newBench(t Target, o Options) (*bench, error) {
+	group, err := groupOf(t)
+	if err != nil {
+		return nil, err
+	}
+	return &bench{
+		target: t, group: group, capacity: capacity(t.Deployment, group),
+		seed: o.Seed, progress: o.Progress, plainRun: map[load]*sim{},
+	}, nil
+}
+
+func groupOf(t Target) (*dandeliongap.Service, error) {
+	var found *dandeliongap.Service
+	for name, s := range t.Deployment.Services {
+		if s.Kind != dandeliongap.KindGroup || len(s.Leaves) == 0 {
+			continue
+		}
+		if t.Group == name {
+			return s, nil
+		}
+		if t.Group == "" && !s.Actions && (found == nil || cmp.Less(name, found.Name)) {
+			found = s
+		}
+	}
+	if found == nil {
+		return nil, fmt.Errorf("group %q of deployment %q: %w", t.Group, t.Deployment.Name, dandeliongap.ErrNotFound)
+	}
+	return found, nil
+}
+
+// at returns the load of the usual class mix at a share of the capacity.
+func (b *bench) at(share float64, length time.Duration) load {
+	return load{Rate: share * b.capacity, Urgent: UrgentShare, Archive: ArchiveShare, Length: length}
+}
+
+// run runs one load. Script schedules the faults; nil: none.
+func (b *bench) run(l load, script func(*sim)) *sim {
+	if script == nil && b.plainRun[l] != nil {
+		return b.plainRun[l]
+	}
+	if b.progress != nil {
+		b.progress(fmt.Sprintf("%s: %.0f searches/s for %s, plain %t", b.target.Deployment.Name, l.Rate, l.Length, l.Plain))
+	}
+	s := newSim(b.target.Deployment, b.group, l, b.target.ZoneDelay, b.seed)
+	if script != nil {
+		script(s)
+	}
+	s.run()
+	if script == nil {
+		b.plainRun[l] = s
+	}
+	return s
+}
+
+// policy is a reference run and a measured run of one policy.
+type policy struct {
+	reference, measured *sim
+}
+
+// both runs the chosen policy and the baseline.
+func (b *bench) both(reference, measured load, script func(*sim)) [2]policy {
+	var out [2]policy
+	for i := range out {
+		reference.Plain, measured.Plain = i == 1, i == 1
+		out[i] = policy{b.run(reference, nil), b.run(measured, script)}
+	}
+	return out
+}
--- /dev/null
+++ b/dgtrial/vm.go
@@ -0,0 +1,145 @@
+package dgtrial
+
+import (
+	"math/rand/v2"
+
+	dandeliongap "dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgfanout"
+)
+
+// vm is an entry VM that also owns replicas.
+type vm struct {
+	sim     *sim
+	id      dandeliongap.MemberID
+	entry   uint64
+	zone    dandeliongap.ZoneName
+	view    *dandeliongap.View
+	planner dgfanout.Planner
+	rng     *rand.Rand
+	actions []dgfanout.Action
+	number  uint64
+}
+
+// search is one query under way.
+type search struct {
+	vm       *vm
+	q        *dgfanout.Query
+	class    dandeliongap.Class
+	started  dandeliongap.Instant
+	deadline dandeliongap.Instant
+	timer    dandeliongap.Instant
+	got      []uint64 // bit set of shards whose answer was delivered in time
+	gotParts int
+	ran      int // attempts that a server started
+	record   *record
+}
+
+// start takes a search from a caller.
+func (v *vm) start(class dandeliongap.Class) {
+	s := v.sim
+	v.number++
+	deadline := s.now.Add(s.group.Deadline)
+	if class == dandeliongap.ClassArchive {
+		deadline = s.now.Add(ArchiveDeadlines * s.group.Deadline)
+	}
+	sr := &search{vm: v, class: class, started: s.now, deadline: deadline, got: make([]uint64, (len(s.group.Leaves)+63)/64)}
+	sr.record = &record{at: s.now, class: class, total: len(s.group.Leaves) * partsPerLeaf}
+	s.tally.records = append(s.tally.records, sr.record)
+	req := dgfanout.Request{Entry: v.entry, Number: v.number, Service: s.group.Name, Class: class, Deadline: deadline, Plain: s.load.Plain}
+	if s.out != nil {
+		s.trace("request service=%s class=%s deadline=%s", req.Service, class, deadline.Sub(s.now))
+	}
+	q, acts := v.planner.Start(s.now, v.view, req, v.rng, v.actions[:0])
+	sr.q = q
+	sr.record.first = countSends(acts)
+	v.settle(sr, acts)
+}
+
+func countSends(acts []dgfanout.Action) int {
+	n := 0
+	for i := range acts {
+		if acts[i].Kind == dgfanout.Send {
+			n++
+		}
+	}
+	return n
+}
+
+// answer takes the result of an attempt.
+func (v *vm) answer(sr *search, ans dgfanout.Answer) {
+	s := v.sim
+	if s.out != nil {
+		s.trace("answer request=%s status=%q reason=%q", name(ans.ID), ans.Status, ans.Reason)
+	}
+	if shard := ans.ID.Shard; ans.Status == dandeliongap.SubAnswered && !sr.q.Done() && sr.got[shard/64]&(1<<(shard%64)) == 0 {
+		sr.got[shard/64] |= 1 << (shard % 64)
+		sr.gotParts += len(ans.Parsed.Parts)
+	}
+	v.settle(sr, v.planner.Answer(s.now, v.view, sr.q, ans, v.rng, v.actions[:0]))
+}
+
+func (v *vm) tick(sr *search) {
+	if v.sim.now < sr.timer || sr.q.Done() {
+		return
+	}
+	sr.timer = never
+	v.settle(sr, v.planner.Tick(v.sim.now, v.view, sr.q, v.rng, v.actions[:0]))
+}
+
+// settle carries out actions and sets the timer of the query.
+func (v *vm) settle(sr *search, acts []dgfanout.Action) {
+	for i := range acts {
+		v.perform(sr, &acts[i])
+	}
+	v.actions = acts[:0]
+	if sr.q.Done() {
+		return
+	}
+	if next := max(sr.q.Next(), v.sim.now); sr.timer == 0 || next < sr.timer {
+		sr.timer = next
+		v.sim.at(next, func() { v.tick(sr) })
+	}
+}
+
+func (v *vm) perform(sr *search, a *dgfanout.Action) {
+	s := v.sim
+	site := s.sites[a.Replica]
+	switch a.Kind {
+	case dgfanout.Send:
+		if s.out != nil {
+			s.trace("%s send request=%s replica=%s", a.Rule, name(a.ID), a.Replica)
+		}
+		sr.record.sent++
+		w := &work{action: *a, search: sr}
+		s.message(v, site.owner, func() { site.offer(w) })
+	case dgfanout.Cancel:
+		if s.out != nil {
+			s.trace("%s cancel request=%s replica=%s", a.Rule, name(a.ID), a.Replica)
+		}
+		id := a.ID
+		s.message(v, site.owner, func() { site.cancel(id) })
+	case dgfanout.Finish:
+		v.finish(sr, a.Rule)
+	}
+}
+
+// finish answers the caller.
+func (v *vm) finish(sr *search, rule dgfanout.Rule) {
+	s := v.sim
+	res := sr.q.Result()
+	r := sr.record
+	r.done, r.outcome, r.reason = true, res.Outcome, res.Reason
+	r.merged = res.Merged
+	r.latency = s.now.Sub(sr.started)
+	r.late = s.now > sr.deadline
+	if res.Outcome != dandeliongap.OutcomeAnswered {
+		r.latency = max(r.latency, sr.deadline.Sub(sr.started))
+	}
+	r.inexact = res.Outcome == dandeliongap.OutcomeAnswered && res.Merged != sr.gotParts
+	if res.Outcome == dandeliongap.OutcomeNotRun {
+		s.tally.refusals = append(s.tally.refusals, sr)
+	}
+	if s.out != nil {
+		s.trace("%s finish outcome=%s reason=%q index=%d merged=%d total=%d", rule, res.Outcome, res.Reason, res.Index, res.Merged, res.Total)
+	}
+}
