--- /dev/null
+++ b/dgtrial/trial_test.go
@@ -0,0 +1,80 @@
+package dgtrial_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	dg "dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgtrial"
+)
+
+// seed is the one for which the targets are checked.
+const seed = 1
+
+// deployment has one group with the given number of leaves of today's size: two replicas with three
+// slots, in different zones.
+func deployment(name string, zones, leaves int) *dg.Deployment {
+	d := &dg.Deployment{Name: name, HedgeExtra: 0.05, Services: map[dg.ServiceName]*dg.Service{}}
+	for i := range zones {
+		d.Zones = append(d.Zones, dg.ZoneName(fmt.Sprintf("zone-%c", 'a'+i)))
+	}
+	group := &dg.Service{Name: "search", Kind: dg.KindGroup, Partial: true, Deadline: 300 * time.Millisecond}
+	d.Services[group.Name] = group
+	for i := range leaves {
+		leaf := &dg.Service{Name: dg.ServiceName(fmt.Sprintf("shard-%02d", i)), Partial: true, Deadline: group.Deadline}
+		leaf.Leaves = []dg.ServiceName{leaf.Name}
+		for k := range 2 {
+			id := dg.ReplicaID(fmt.Sprintf("%s/%d", leaf.Name, k))
+			leaf.Replicas = append(leaf.Replicas, dg.Replica{
+				ID: id, Service: leaf.Name, Zone: d.Zones[(i+k)%zones], Slots: 3, Connections: 30, ColdLimit: 1,
+			})
+		}
+		d.Services[leaf.Name] = leaf
+		group.Leaves = append(group.Leaves, leaf.Name)
+	}
+	return d
+}
+
+func targets() []dgtrial.Target {
+	return []dgtrial.Target{
+		{Deployment: deployment("kelani", 3, 20), ZoneDelay: 1500 * time.Microsecond},
+		{Deployment: deployment("stejar", 4, 20), ZoneDelay: 500 * time.Microsecond},
+	}
+}
+
+// check runs one case for each deployment and fails for each missed target.
+func check(t *testing.T, name string) {
+	for _, target := range targets() {
+		t.Run(target.Deployment.Name, func(t *testing.T) {
+			t.Parallel()
+			r, err := dgtrial.Run(dgtrial.Options{Targets: []dgtrial.Target{target}, Cases: []string{name}, Seed: seed})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var table bytes.Buffer
+			if err := r.Print(&table); err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("\n%s", table.String())
+			for _, row := range r.Rows {
+				for _, m := range row.Measures {
+					if !m.Held {
+						t.Errorf("%s is %.4g, the target is %s", m.Name, m.Chosen, m.Bound())
+					}
+				}
+			}
+		})
+	}
+}
+
+// Each test guards one row of the targets of the design.
+
+func TestStraggler(t *testing.T)     { t.Parallel(); check(t, "straggler") }
+func TestReplicaLost(t *testing.T)   { t.Parallel(); check(t, "replica-lost") }
+func TestReplicaSilent(t *testing.T) { t.Parallel(); check(t, "replica-silent") }
+func TestShardLost(t *testing.T)     { t.Parallel(); check(t, "shard-lost") }
+func TestOverload(t *testing.T)      { t.Parallel(); check(t, "overload") }
+func TestCold(t *testing.T)          { t.Parallel(); check(t, "cold") }
+func TestZone(t *testing.T)          { t.Parallel(); check(t, "zone") }
