--- a/dgtrial/trial.go
+++ b/dgtrial/trial.go
@@ -25,6 +25,8 @@
 	Cases    []string // names from Cases; none: all of them
 	Seed     uint64
 	Progress func(what string) // called before each run; nil: none
+	// SkipPlain leaves out the runs of the baseline; its figures are then 0.
+	SkipPlain bool
 }
 
 // Run measures the cases for each target and returns one row for each pair. Its
@@ -61,6 +63,7 @@
 	capacity float64
 	seed     uint64
 	progress func(string)
+	noPlain  bool
 	plainRun map[load]*sim // runs without faults, shared between cases
 }
 
@@ -71,7 +74,7 @@
 	}
 	return &bench{
 		target: t, group: group, capacity: capacity(t.Deployment, group),
-		seed: o.Seed, progress: o.Progress, plainRun: map[load]*sim{},
+		seed: o.Seed, progress: o.Progress, noPlain: o.SkipPlain, plainRun: map[load]*sim{},
 	}, nil
 }
 
@@ -128,6 +131,11 @@
 	var out [2]policy
 	for i := range out {
 		reference.Plain, measured.Plain = i == 1, i == 1
+		if i == 1 && b.noPlain {
+			empty := newSim(b.target.Deployment, b.group, load{}, b.target.ZoneDelay, b.seed)
+			out[i] = policy{empty, empty}
+			continue
+		}
 		out[i] = policy{b.run(reference, nil), b.run(measured, script)}
 	}
 	return out
