Hedge at the same replica when no other one may be used

Cause: while a zone is out, leaves with one usable replica were not hedged at all. Each straggler kept its slot for 100 ms and two of them in one server left one slot for a load of 1.8, so that queues grew as well.

--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -25,9 +25,10 @@
 //	    does not hold the index version, or its refusal of this class or a more
 //	    urgent one asked to wait.
 //	R6  Hedge: a search sends a second attempt to another replica when the first
-//	    is later than the learned delay of the leaf service. The loser is
-//	    cancelled. None while the leaf is overloaded or the other replica's
-//	    expected wait is over twice the delay.
+//	    is later than the learned delay of the leaf service, or to the same one
+//	    if it is the only one that may be used. The loser is cancelled. None
+//	    while the leaf is overloaded or the expected wait of the second attempt
+//	    is over twice the delay.
 //	R7  Retry: a failed attempt is repeated at another replica, at most 3
 //	    attempts for each shard, none while the leaf is overloaded.
 //	R8  Budget: hedges and retries of all queries take tokens from one bucket,
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -696,12 +696,34 @@
 	}
 	w := q.want(q.snapshot.version, true)
 	c, _ := p.choose(now, l, &w, func(c *candidate) bool { return q.tried(s, c) }, rng)
+	if c == nil {
+		c = p.same(now, q, s, l, &w)
+	}
 	if c == nil || c.busy(now) || p.saves(now, q, s) || !p.take(hedgeReserve) {
 		return dst
 	}
 	return p.send(now, q, i, c, RuleHedge, dst)
 }
 
+// same returns the replica of the newest attempt if it is the only one of the
+// leaf that R4 and R5 allow, or nil. A free slot is not asked for: the winner's
+// cancellation of a straggler frees a slot, which matters most when none is.
+func (p *Planner) same(now dandeliongap.Instant, q *Query, s *shard, l *leafPlan, w *want) *candidate {
+	last := q.attempts[s.last].c
+	var only *candidate
+	for k := range l.candidates {
+		c := &l.candidates[k]
+		if t, _ := c.tierOf(now, w); t == tierAvoid || t == tierProbe {
+			continue
+		}
+		if only != nil || c.learned != last.learned || c.owner != last.owner {
+			return nil
+		}
+		only = c
+	}
+	return only
+}
+
 // saves reports whether a hedge has to wait because few tokens are left: usual
 // late answers arrive within twice the delay, stragglers do not.
 func (p *Planner) saves(now dandeliongap.Instant, q *Query, s *shard) bool {
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -174,6 +174,17 @@
 		Expect(r.q.Result()).To(And(HaveField("Merged", 2), HaveField("Total", 2), HaveField("Accepted", HaveLen(2))))
 	})
 
+	It("R6 hedges at the same replica if no other may be used (guards against stragglers while a zone is out)", func() {
+		r := newRig(newView(1, 2)).warm(10 * time.Millisecond)
+		r.change(func(v *dg.View) { v.ZonesOut = map[dg.ZoneName]bool{"b": true} })
+		first := r.first()
+		hedges := r.tickTo(r.now + 20*ms)
+		Expect(hedges).To(HaveExactElements(And(HaveField("Rule", dgfanout.RuleHedge), HaveField("Replica", first.Replica))))
+		Expect(hedges[0].ID).NotTo(Equal(first.ID))
+		Expect(r.answer(r.ok(hedges[0]))[0]).To(And(HaveField("Kind", dgfanout.Cancel), HaveField("ID", first.ID)))
+		Expect(r.q.Result().Merged).To(Equal(1))
+	})
+
 	It("R6 and R7 send nothing extra to an overloaded leaf (guards against load that grows under overload)", func() {
 		r := newRig(newView(1, 4)).warm(10 * time.Millisecond)
 		for range 20 {
