Stop accepting requests in a zone within 2 s of its take-out; add measure

Cause: an entry VM in a zone that was taken out accepted requests for 5 s, as long as callers may keep addresses; operators are promised 3 s. Callers now keep addresses for 2 s, and the client moves on to another VM after such a refusal.

--- a/dgclient/query.go
+++ b/dgclient/query.go
@@ -81,6 +81,7 @@
 // another one may serve the request.
 var elsewhere = map[string]bool{
 	dandeliongap.ReasonStopping.String(): true,
+	dandeliongap.ReasonZoneOut.String():  true,
 	dandeliongap.ReasonIsolated.String(): true,
 	dandeliongap.ReasonLease.String():    true,
 }
--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -38,6 +38,7 @@
 	Act      ActCommand      `cmd:"" help:"Run one request that may not be repeated."`
 	Demo     DemoCommand     `cmd:"" help:"Run stand-ins and six VMs in this process and show each promise as held or broken."`
 	Load     LoadCommand     `cmd:"" help:"Run an open-loop load with one fault and compare with the baseline policy."`
+	Measure  MeasureCommand  `cmd:"" help:"Measure the decisions of the request path on a virtual clock against their targets."`
 	Standins StandinsCommand `cmd:"" name:"stand-ins" help:"Run the stand-ins of the platform and of all backend servers until interrupted."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// keepAddresses is how long callers may keep the list of addresses.
-	keepAddresses = 5 * time.Second
+	// keepAddresses is how long callers may keep the list of addresses. A zone
+	// that is taken out accepts nothing new after this time, within the 3 s that
+	// operators are promised.
+	keepAddresses = 2 * time.Second
 	// maxDeadline bounds the deadline of one request.
 	maxDeadline = time.Minute
 	// maxKey bounds an idempotency key, in bytes.
