Name the version in force in a conflict of operators

The daemon wrote the version that came first as "Version", the client reads "Current". The operator was told that the configuration is at version 0. The answer to a conflict now has "Current" and "Given".

Guarded by TestOperatorsRace.

--- a/dgnode/operator.go
+++ b/dgnode/operator.go
@@ -59,11 +59,13 @@
 // writeChange answers an operator's change.
 func (n *Node) writeChange(c fiber.Ctx, version, given dandeliongap.Version, err error) error {
 	body := struct {
-		Version dandeliongap.Version
+		Version dandeliongap.Version `json:",omitempty"` // after the change
+		Current dandeliongap.Version `json:",omitempty"` // that came first, on a conflict
 		Given   dandeliongap.Version `json:",omitempty"`
 		Error   string               `json:",omitempty"`
-	}{Version: version, Given: given}
+	}{Given: given}
 	if err == nil {
+		body.Version = version
 		c.Set(fiber.HeaderETag, etag(version))
 		return c.JSON(body)
 	}
@@ -72,6 +74,7 @@
 	switch {
 	case errors.Is(err, dandeliongap.ErrConflict):
 		status = fiber.StatusConflict
+		body.Current = version
 	case errors.Is(err, dandeliongap.ErrInvalid):
 		status = fiber.StatusBadRequest
 	case errors.Is(err, dandeliongap.ErrTooLarge):
