Close the last connections of a stopping VM

net/http and fasthttp wait 5 s for the first request of a connection. The listener for callers now knows its connections, and the ones that remain are closed.

Kill waited for a Close under way instead of interrupting it. It now ends the shutdown, so that a crash during a handover can be tested.

Calls and attempts that begin while close waits are refused under a lock: a WaitGroup must not grow from zero during Wait. Requests in flight are counted by one number instead of two.

--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -83,11 +83,7 @@
 		n.inFlight.Add(-1)
 		return nil, dandeliongap.ReasonOverload
 	}
-	n.requests.Add(1)
-	end = func() {
-		n.inFlight.Add(-1)
-		n.requests.Done()
-	}
+	end = func() { n.inFlight.Add(-1) }
 	v := n.view.Load()
 	switch {
 	case n.draining.Load():
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -47,6 +47,8 @@
 	wg       conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
+	calls    sync.Mutex    // guards closed
+	closed   bool          // no call begins any more
 	lost     chan struct{} // closed when the member was fenced
 	lostOnce sync.Once
 	events   chan func(now dandeliongap.Instant)
@@ -108,6 +110,9 @@
 // close stops the control goroutine and waits for calls under way.
 func (c *control) close() {
 	c.cancel()
+	c.calls.Lock()
+	c.closed = true
+	c.calls.Unlock()
 	c.wg.Wait()
 }
 
@@ -262,8 +267,14 @@
 	return obj.Version
 }
 
-// call runs one call of control outside of the control goroutine.
+// call runs one call of control outside of the control goroutine. After close it
+// does nothing: a gate can be drained that late.
 func (c *control) call(limit time.Duration, f func(ctx context.Context)) {
+	c.calls.Lock()
+	defer c.calls.Unlock()
+	if c.closed {
+		return
+	}
 	c.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
--- a/dgnode/gates.go
+++ b/dgnode/gates.go
@@ -32,6 +32,7 @@
 	mu     sync.RWMutex
 	gates  map[dandeliongap.ReplicaID]*gate
 	rights dandeliongap.Instant // end of this VM's rights
+	closed bool                 // there are no rights any more
 }
 
 func newGates(c clock, backend dandeliongap.BackendClient, l *log.Logger, drained func(dandeliongap.ReplicaID)) *gates {
@@ -99,6 +100,9 @@
 // setRights extends or ends this VM's rights for all replicas.
 func (gs *gates) setRights(end dandeliongap.Instant) {
 	gs.mu.Lock()
+	if gs.closed {
+		end = 0
+	}
 	changed := gs.rights != end
 	gs.rights = end
 	gs.mu.Unlock()
@@ -119,8 +123,13 @@
 	return gs.rights
 }
 
-// close waits for all attempts under way.
+// close ends all rights, so that nothing more is sent, and waits for the attempts
+// under way.
 func (gs *gates) close() {
+	gs.mu.Lock()
+	gs.closed = true
+	gs.mu.Unlock()
+	gs.setRights(0)
 	gs.wg.Wait()
 	for _, g := range gs.all() {
 		g.mu.Lock()
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -72,14 +72,16 @@
 	peerService *peerService
 
 	app        *fiber.App
+	callers    *openConns
 	peerServer *http.Server
 	serve      sync.WaitGroup
 
 	inFlight      atomic.Int64
-	requests      sync.WaitGroup
 	requestNumber atomic.Uint64
-	stopping      atomic.Bool // out of the list of addresses
-	draining      atomic.Bool // refuses new requests
+	stopping      atomic.Bool     // out of the list of addresses
+	draining      atomic.Bool     // refuses new requests
+	killed        context.Context // ends with Kill
+	kill          context.CancelFunc
 	closed        sync.Once
 	closeErr      error
 }
@@ -93,6 +95,7 @@
 		plain:    o.Plain,
 		stats:    newStats(),
 	}
+	n.killed, n.kill = context.WithCancel(context.Background())
 	incarnation := rand.Uint64()
 	self := dandeliongap.Member{
 		ID:            dandeliongap.MemberID(fmt.Sprintf("%s-%016x", o.Settings.VM, incarnation)),
@@ -181,6 +184,7 @@
 	})
 	n.callerRoutes(n.app)
 	n.operatorRoutes(n.app)
+	n.callers = newOpenConns(callers)
 	n.peerServer = &http.Server{
 		Handler:           limitBody(dgwire.NewPeerServer(n.peerService)),
 		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
@@ -188,7 +192,7 @@
 		IdleTimeout:       idleCaller,
 	}
 	n.serve.Go(func() {
-		if err := n.app.Listener(callers, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		if err := n.app.Listener(n.callers, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			n.log.Error("callers not served", "Error", err)
 		}
 	})
@@ -239,7 +243,7 @@
 }
 
 func (n *Node) shutdown() error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	ctx, cancel := context.WithTimeout(n.killed, n.settings.Shutdown)
 	defer cancel()
 	n.log.Info("shutdown", "Rule", "S1", "Choice", "leave the list of addresses and hand over replicas")
 	n.stopping.Store(true)
@@ -248,7 +252,11 @@
 	// Callers may use an address for as long as they were told to keep it.
 	pause(ctx, time.Until(started.Add(keepAddresses)))
 	n.draining.Store(true)
-	cut := !wait(ctx, n.requests.Wait)
+	cut := !n.waitForRequests(ctx)
+	if n.killed.Err() != nil {
+		n.crash()
+		return nil
+	}
 	if cut {
 		n.log.Warn("shutdown", "Rule", "S2", "Choice", "cut off requests", "InFlight", n.inFlight.Load(), "Limit", n.settings.Shutdown)
 	}
@@ -256,28 +264,24 @@
 	return n.closeAll(cut)
 }
 
-// wait reports whether f returned before ctx ended.
-func wait(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
-	go func() {
-		f()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
+// waitForRequests reports whether the requests in flight ended before ctx. No
+// request begins any more once draining is set.
+func (n *Node) waitForRequests(ctx context.Context) bool {
+	for n.inFlight.Load() > 0 {
+		if !pause(ctx, waitStep) {
+			return false
+		}
 	}
+	return true
 }
 
 // closeLimit bounds the end of connections once all requests have ended.
 const closeLimit = 2 * time.Second
 
 func (n *Node) closeAll(cut bool) error {
-	err := n.app.ShutdownWithTimeout(closeLimit)
-	if cut && errors.Is(err, context.DeadlineExceeded) {
-		err = nil // was logged by rule S2
+	err := graceful(n.app.ShutdownWithTimeout(closeLimit))
+	if open := n.callers.closeConns(); open > 0 {
+		n.log.Info("shutdown", "Rule", "S3", "Choice", "close connections without a finished request", "Connections", open)
 	}
 	if !cut {
 		n.actor.wg.Wait()
@@ -285,22 +289,38 @@
 	n.gates.close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
 	defer cancel()
-	err = errors.Join(err, n.peers.Close(), n.peerServer.Shutdown(ctx))
+	err = errors.Join(err, n.peers.Close(), graceful(n.peerServer.Shutdown(ctx)), n.peerServer.Close())
 	n.control.close()
 	n.serve.Wait()
+	n.kill()
 	n.log.Info("stopped", "Member", n.control.self.ID)
 	return trace.Wrap(err)
 }
 
-// Kill ends the node as a crash would: nothing is handed over. It is for tests
-// and the demo.
+// graceful drops the error of a server that still has connections at the limit:
+// all requests have ended or were logged by rule S2, and the connections that
+// remain, such as spare ones that never carried a request, are closed next.
+func graceful(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// Kill ends the node as a crash would, also while Close is under way: nothing
+// more is handed over and no connection is served on. It is for tests and the
+// demo.
 func (n *Node) Kill() {
-	n.closed.Do(func() {
-		_ = n.peerServer.Close()
-		n.control.close()
-		_ = n.app.ShutdownWithTimeout(time.Millisecond)
-		_ = n.peers.Close()
-		n.gates.close()
-		n.serve.Wait()
-	})
+	n.kill()
+	n.closed.Do(n.crash)
+}
+
+func (n *Node) crash() {
+	n.callers.closeConns()
+	_ = n.peerServer.Close()
+	n.control.close()
+	_ = n.app.ShutdownWithTimeout(time.Millisecond)
+	_ = n.peers.Close()
+	n.gates.close()
+	n.serve.Wait()
 }
