--- a/dgdemo/demo.go
+++ b/dgdemo/demo.go
@@ -325,7 +325,7 @@
 		SnapshotViolations:   t.SnapshotViolations,
 		CoverageViolations:   t.CoverageViolations,
 		CrossedAnswers:       t.CrossedViolations,
-		FalseRefusals:        d.runner.falseRefusals(),
+		FalseRefusals:        d.runner.FalseRefusals(),
 		DuplicateRuns:        c.DuplicateRuns,
 		ConnectionsLost:      t.ConnectionsLost,
 		ConfigReverts:        d.reverts,
--- a/dgdemo/load.go
+++ b/dgdemo/load.go
@@ -194,7 +194,7 @@
 		UrgentP99Ms: t.Quantile("urgent", 99),
 		ExtraLoad:   max(0, float64(n.Runs)/float64(max(t.Expected, 1))-1),
 		Violations: n.Violations() + t.SnapshotViolations + t.CoverageViolations + t.CrossedViolations +
-			runner.falseRefusals(),
+			runner.FalseRefusals(),
 	}
 }
 
--- a/dgdemo/runner.go
+++ b/dgdemo/runner.go
@@ -119,12 +119,13 @@
 			return
 		}
 		job := r.pick()
+		key := dandeliongap.IdempotencyKey(fmt.Sprintf("order-%016x", r.rng.Uint64()))
 		planned := start.Add(at)
 		time.Sleep(time.Until(planned))
 		if r.progress != nil {
 			r.progress(float64(at) / float64(length))
 		}
-		wg.Go(func() { r.one(ctx, job, n, planned) })
+		wg.Go(func() { r.one(ctx, job, n, key, planned) })
 	}
 }
 
@@ -143,9 +144,9 @@
 	return r.jobs[len(r.jobs)-1]
 }
 
-func (r *Runner) one(ctx context.Context, j Job, n int, planned time.Time) {
+func (r *Runner) one(ctx context.Context, j Job, n int, key dandeliongap.IdempotencyKey, planned time.Time) {
 	if j.Action {
-		r.act(ctx, j)
+		r.act(ctx, j, key)
 		return
 	}
 	r.search(ctx, j, n, planned)
@@ -217,10 +218,7 @@
 
 // act sends one action, and repeats it with the same key while the outcome is
 // unknown, as a caller would.
-func (r *Runner) act(ctx context.Context, j Job) {
-	r.mu.Lock()
-	key := dandeliongap.IdempotencyKey(fmt.Sprintf("order-%016x", r.rng.Uint64()))
-	r.mu.Unlock()
+func (r *Runner) act(ctx context.Context, j Job, key dandeliongap.IdempotencyKey) {
 	var res dgclient.ActionResult
 	var err error
 	for range 3 {
@@ -248,9 +246,9 @@
 	}
 }
 
-// falseRefusals counts actions that callers were told did not run and that a
+// FalseRefusals counts actions that callers were told did not run and that a
 // backend server ran.
-func (r *Runner) falseRefusals() int64 {
+func (r *Runner) FalseRefusals() int64 {
 	runs := r.cluster.Fleet.Ledger().All()
 	r.mu.Lock()
 	defer r.mu.Unlock()
