--- a/dgdemo/cluster.go
+++ b/dgdemo/cluster.go
@@ -240,6 +240,16 @@
 	return old.close()
 }
 
+// KillVM ends one VM as a crash would. It is not among the VMs any more.
+func (c *Cluster) KillVM(i int) error {
+	c.mu.Lock()
+	v := c.vms[i]
+	c.vms = slices.Delete(c.vms, i, i+1)
+	c.mu.Unlock()
+	v.node.Kill()
+	return v.close()
+}
+
 func (v *vm) close() error {
 	var err error
 	if v.node != nil {
--- /dev/null
+++ b/dgdemo/outage_test.go
@@ -0,0 +1,47 @@
+package dgdemo_test
+
+import (
+	"net/http"
+	"testing"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgdemo"
+	"dandeliongap.example/dandeliongap/dgstandin"
+	"github.com/google/uuid"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a tier that needs the platform for searches, runs actions that
+// it cannot record, or does not recover after an outage.
+func TestPlatformOutage(t *testing.T) {
+	f := start(t, 3)
+	searches, err := dgdemo.NewRunner(f.Cluster, []dgdemo.Job{{Service: search, Share: 1}}, 1)
+	f.Expect(err).NotTo(HaveOccurred())
+	defer searches.Close()
+	f.runner, searches = searches, f.runner
+	tally := f.underLoad(func() {
+		f.platform(dgstandin.PlatformFaults{Down: dgstandin.Refused})
+		for i, n := range f.Nodes() {
+			a := f.actAt(n, uuid.NewString(), "40 sleepers")
+			f.Expect(a).To(HaveField("Status", http.StatusServiceUnavailable), "VM %d", i)
+			f.Expect(a).To(HaveField("Outcome", "not run"))
+			f.Expect(a).To(HaveField("Reason", dandeliongap.ReasonPlatform.String()), "refused at once, not at the deadline")
+		}
+		late, err := f.AddVM("late", zoneB)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.until("a VM that starts in the outage serves", func() bool { return late.View().Serving })
+		f.Expect(f.searchAt(late)).To(And(HaveField("Status", http.StatusOK), HaveField("Merged", 10), HaveField("Total", 10)))
+		f.Expect(f.Fleet.Ledger().All()).To(BeEmpty())
+		f.platform(dgstandin.PlatformFaults{})
+		f.until("the late VM is a member", f.Ready)
+	})
+	f.expectAllAnswered(tally)
+	f.expectPromisesKept(tally)
+	_, base, err := f.client.GetConfig(f.ctx)
+	f.Expect(err).NotTo(HaveOccurred())
+	version, err := f.client.ApplyConfig(f.ctx, "# after the outage\n"+f.Text, base, uuid.NewString())
+	f.Expect(err).NotTo(HaveOccurred())
+	f.until("the change is in force", func() bool {
+		return f.everywhere(func(v *dandeliongap.View) bool { return v.Config == version })
+	})
+}
--- /dev/null
+++ b/dgdemo/replace_test.go
@@ -0,0 +1,36 @@
+package dgdemo_test
+
+import (
+	"testing"
+
+	"dandeliongap.example/dandeliongap"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against requests that are cut off, refused or run twice, and against
+// replicas with two owners, while all VMs are replaced one after the other. The
+// next VM is replaced as soon as the one before it has handed over its replicas.
+func TestReplacementOfAllVMsLosesNothing(t *testing.T) {
+	f := start(t, 6)
+	tally := f.underLoad(func() {
+		closed := make(chan error, 6)
+		for i := range 6 {
+			old := f.Nodes()[i].Member()
+			go func() { closed <- f.ReplaceVM(i) }()
+			f.until("the new VM serves and the old one holds nothing", func() bool {
+				fresh := f.Nodes()[i].Member()
+				return fresh != old && f.ownedByLive() && f.everywhere(func(v *dandeliongap.View) bool {
+					_, member := v.Members[fresh]
+					return v.Serving && member
+				})
+			})
+		}
+		for range 6 {
+			f.Expect(<-closed).To(Succeed())
+		}
+	})
+	f.expectAllAnswered(tally)
+	f.Expect(tally.ActionsAnswered).To(And(BeNumerically(">", 0), Equal(tally.Actions)))
+	f.expectPromisesKept(tally)
+	f.until("only the new VMs are members", f.Ready)
+}
