--- a/dgclient/call.go
+++ b/dgclient/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 )
@@ -48,7 +49,7 @@
 }
 
 // transportOf returns the connections to an address; nil after Close.
-func (c *Client) transportOf(addr string) *transport {
+func (c *Client) transportOf(addr string) *dghttp.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -56,7 +57,7 @@
 	}
 	t := c.transports[addr]
 	if t == nil {
-		t = &transport{addr: addr, maxIdle: maxIdle, limit: maxAnswer, open: make(map[*conn]struct{})}
+		t = dghttp.New(addr, maxIdle, maxAnswer)
 		c.transports[addr] = t
 	}
 	return t
@@ -70,7 +71,7 @@
 		if t == nil {
 			return false, dandeliongap.ErrClosed
 		}
-		sent, err = t.do(ctx, req, resp, end)
+		sent, err = t.Do(ctx, req, resp, end)
 		if sent || !errors.Is(err, dandeliongap.ErrClosed) {
 			return sent, err
 		}
@@ -82,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, t := range c.transports {
-		if !slices.Contains(listed, addr) && t.closeUnused() {
+		if !slices.Contains(listed, addr) && t.CloseUnused() {
 			delete(c.transports, addr)
 		}
 	}
--- a/dgclient/client.go
+++ b/dgclient/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/gravitational/trace"
 )
 
@@ -33,7 +34,7 @@
 	book    addressBook
 
 	mu         sync.Mutex
-	transports map[string]*transport
+	transports map[string]*dghttp.Transport
 	closed     bool
 }
 
@@ -53,7 +54,7 @@
 	return &Client{
 		token:      o.Token,
 		timeout:    o.Timeout,
-		transports: make(map[string]*transport),
+		transports: make(map[string]*dghttp.Transport),
 		book: addressBook{
 			seeds:  slices.Clone(o.Addresses),
 			next:   rand.IntN(startRange),
@@ -70,7 +71,7 @@
 	transports := c.transports
 	c.mu.Unlock()
 	for _, t := range transports {
-		t.close()
+		t.Close()
 	}
 	return nil
 }
--- a/dgclient/transport.go
+++ b/dghttp/transport.go
@@ -1,4 +1,7 @@
-package dgclient
+// Package dghttp sends HTTP requests once, over kept connections to one address. It
+// serves the clients of the platform and of the tier; the client of backend
+// servers has connection limits of its own.
+package dghttp
 
 import (
 	"bufio"
@@ -21,10 +24,10 @@
 // errTruncated reports an answer whose end only the end of the connection marks.
 var errTruncated = errors.New("answer without length")
 
-// transport sends each request once over kept connections to one address.
+// Transport sends each request once over kept connections to one address.
 // fasthttp's own client repeats requests, cannot be cancelled and does not tell
 // whether a byte was written.
-type transport struct {
+type Transport struct {
 	addr    string
 	maxIdle int
 	limit   int // of an answer, in bytes
@@ -37,6 +40,12 @@
 	wg     sync.WaitGroup
 }
 
+// New returns a transport for the address ("host:port"). It keeps up to maxIdle
+// free connections and refuses answers of more than limit bytes.
+func New(addr string, maxIdle, limit int) *Transport {
+	return &Transport{addr: addr, maxIdle: maxIdle, limit: limit, open: make(map[*conn]struct{})}
+}
+
 // conn is one connection. It belongs to one request at a time.
 type conn struct {
 	tcp     *net.TCPConn
@@ -68,9 +77,10 @@
 	return err == nil && n < 0 && errors.Is(readErr, syscall.EAGAIN)
 }
 
-// do sends a request once and reads its whole answer until end or until ctx
-// ends. It tells whether a byte of the request was written.
-func (t *transport) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, end time.Time) (sent bool, err error) {
+// Do sends a request once and reads its whole answer until end or until ctx
+// ends. It tells whether a byte of the request was written. Its errors are those
+// of the connection, of ctx, and dandeliongap.ErrClosed after Close.
+func (t *Transport) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, end time.Time) (sent bool, err error) {
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
@@ -99,7 +109,7 @@
 	return sent, nil
 }
 
-func (t *transport) done() {
+func (t *Transport) done() {
 	t.mu.Lock()
 	t.busy--
 	t.mu.Unlock()
@@ -130,7 +140,7 @@
 }
 
 // acquire returns a free connection that is still open, or a new one.
-func (t *transport) acquire(ctx context.Context, end time.Time) (*conn, error) {
+func (t *Transport) acquire(ctx context.Context, end time.Time) (*conn, error) {
 	for {
 		c := t.take()
 		if c == nil {
@@ -143,7 +153,7 @@
 	}
 }
 
-func (t *transport) take() *conn {
+func (t *Transport) take() *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := len(t.idle)
@@ -155,7 +165,7 @@
 	return c
 }
 
-func (t *transport) dial(ctx context.Context, end time.Time) (*conn, error) {
+func (t *Transport) dial(ctx context.Context, end time.Time) (*conn, error) {
 	d := net.Dialer{Deadline: end}
 	nc, err := d.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
@@ -177,7 +187,7 @@
 	return c, nil
 }
 
-func (t *transport) release(c *conn) {
+func (t *Transport) release(c *conn) {
 	t.mu.Lock()
 	keep := !t.closed && len(t.idle) < t.maxIdle
 	if keep {
@@ -189,15 +199,15 @@
 	}
 }
 
-func (t *transport) drop(c *conn) {
+func (t *Transport) drop(c *conn) {
 	t.mu.Lock()
 	delete(t.open, c)
 	t.mu.Unlock()
 	_ = c.tcp.Close()
 }
 
-// closeUnused closes the transport if no request uses it.
-func (t *transport) closeUnused() bool {
+// CloseUnused closes the transport if no request uses it.
+func (t *Transport) CloseUnused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.busy > 0 {
@@ -211,9 +221,9 @@
 	return true
 }
 
-// close closes all connections, which ends requests under way, and waits for
+// Close closes all connections, which ends requests under way, and waits for
 // them.
-func (t *transport) close() {
+func (t *Transport) Close() {
 	t.mu.Lock()
 	t.closed = true
 	t.idle = nil
--- a/dgplatform/call.go
+++ b/dgplatform/call.go
@@ -78,7 +78,7 @@
 	} else if q.conditional {
 		req.Header.Set(fasthttp.HeaderIfMatch, etag(q.version))
 	}
-	sent, err := c.http.do(ctx, req, resp, end)
+	sent, err := c.http.Do(ctx, req, resp, end)
 	if err != nil {
 		return result{sent: sent, err: err}
 	}
--- a/dgplatform/client.go
+++ b/dgplatform/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -48,7 +49,7 @@
 	addr    string
 	timeout time.Duration
 	limit   *rate.Limiter
-	http    transport
+	http    *dghttp.Transport
 	calls   *expvar.Map
 }
 
@@ -75,7 +76,7 @@
 		addr:    o.Address,
 		timeout: o.Timeout,
 		limit:   rate.NewLimiter(rate.Limit(o.Rate), o.Burst),
-		http:    transport{addr: o.Address, maxIdle: maxIdle, limit: maxAnswer, open: make(map[*conn]struct{})},
+		http:    dghttp.New(o.Address, maxIdle, maxAnswer),
 		calls:   new(expvar.Map).Init(),
 	}, nil
 }
@@ -200,7 +201,7 @@
 // Close ends calls under way with ErrUnreachable, closes all connections and
 // waits for both. Later calls return ErrClosed.
 func (c *Client) Close() error {
-	c.http.close()
+	c.http.Close()
 	return nil
 }
 
