--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -1,7 +1,6 @@
 package dgnode
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"strconv"
@@ -73,67 +72,6 @@
 	}{addresses, keepAddresses.Milliseconds()})
 }
 
-// busy tells whether this VM is near its limit of requests in flight.
-func (n *Node) busy() bool {
-	return n.inFlight.Load() > int64(n.settings.Limits.Requests)*8/10
-}
-
-// begin counts a request in flight. It refuses when the VM stops, its zone is
-// taken out or too many requests are in flight.
-func (n *Node) begin() (end func(), why dandeliongap.Reason) {
-	if n.inFlight.Add(1) > int64(n.settings.Limits.Requests) {
-		n.inFlight.Add(-1)
-		return nil, dandeliongap.ReasonOverload
-	}
-	end = func() { n.inFlight.Add(-1) }
-	v := n.view.Load()
-	switch {
-	case n.draining.Load():
-		why = dandeliongap.ReasonStopping
-	case v.ZonesOut[n.settings.Zone] && n.clock.now() > n.zoneOutSince().Add(keepAddresses):
-		// Callers may keep an address for a while after it left the list.
-		why = dandeliongap.ReasonZoneOut
-	case !v.Serving:
-		why = v.Why
-	default:
-		return end, dandeliongap.ReasonNone
-	}
-	end()
-	return nil, why
-}
-
-// deadlineOf returns the deadline of a request, the service's own if it names
-// none.
-func (n *Node) deadlineOf(service dandeliongap.ServiceName, ms int64) (dandeliongap.Instant, error) {
-	if ms < 0 || ms > maxDeadline.Milliseconds() {
-		return 0, badRequest("DeadlineMs must be between 0 and " + strconv.FormatInt(maxDeadline.Milliseconds(), 10))
-	}
-	d := time.Duration(ms) * time.Millisecond
-	if d == 0 {
-		if v := n.view.Load(); v.Deployment != nil && v.Deployment.Services[service] != nil {
-			d = v.Deployment.Services[service].Deadline
-		}
-	}
-	if d == 0 {
-		d = time.Second
-	}
-	return n.clock.now().Add(d), nil
-}
-
-func badRequest(message string) error { return fiber.NewError(fiber.StatusBadRequest, message) }
-
-// classOf returns the class of a request, the service's own if it names none.
-func (n *Node) classOf(service dandeliongap.ServiceName, name string) (dandeliongap.Class, error) {
-	if v := n.view.Load(); name == "" && v.Deployment != nil && v.Deployment.Services[service] != nil {
-		return v.Deployment.Services[service].Class, nil
-	}
-	class, err := dandeliongap.ParseClass(name)
-	if err != nil {
-		return 0, badRequest("Class must be urgent, ordinary or archive")
-	}
-	return class, nil
-}
-
 func (n *Node) postSearch(c fiber.Ctx) error {
 	var req searchRequest
 	if err := c.Bind().JSON(&req); err != nil {
@@ -142,32 +80,21 @@
 	if req.Service == "" || req.MinCoverage < 0 || req.MinCoverage > 1 {
 		return badRequest("Service must be given and MinCoverage be between 0 and 1")
 	}
-	class, err := n.classOf(req.Service, req.Class)
-	if err != nil {
+	r, err := n.open(c, req.Service, req.Class, req.DeadlineMs)
+	if r == nil {
 		return err
 	}
-	deadline, err := n.deadlineOf(req.Service, req.DeadlineMs)
-	if err != nil {
-		return err
-	}
-	end, why := n.begin()
-	if end == nil {
-		return n.refuse(c, why)
-	}
-	defer end()
-	started := n.clock.now()
-	ctx, stop := watchHangUp(context.Background(), c.RequestCtx().Conn())
-	defer stop()
-	r := n.entry.run(ctx, dgfanout.Request{
+	defer r.close()
+	res := n.entry.run(r.ctx, dgfanout.Request{
 		Service:     req.Service,
-		Class:       class,
+		Class:       r.class,
 		MinCoverage: req.MinCoverage,
-		Deadline:    deadline,
+		Deadline:    r.deadline,
 		Plain:       n.plain,
 	}, []byte(req.Query))
 	now := n.clock.now()
-	n.stats.observe(now, req.Service, r.Outcome, now.Sub(started), r.Merged, r.Total)
-	return writeSearch(c, n.requestID(), r)
+	n.stats.observe(now, req.Service, res.Outcome, now.Sub(r.started), res.Merged, res.Total)
+	return writeSearch(c, n.requestID(), res)
 }
 
 func writeSearch(c fiber.Ctx, id string, r dgfanout.Result) error {
@@ -213,20 +140,6 @@
 	}
 }
 
-// refuse answers a request that was not started.
-func (n *Node) refuse(c fiber.Ctx, why dandeliongap.Reason) error {
-	n.log.Info("refuse", "Rule", "E1", "Path", c.Path(), "Reason", why)
-	return c.Status(fiber.StatusServiceUnavailable).JSON(struct {
-		ID           string `json:"Id"`
-		Outcome      string
-		Reason       string
-		RetryAfterMs int64
-	}{n.requestID(), dandeliongap.OutcomeNotRun.String(), why.String(), refuseRetry.Milliseconds()})
-}
-
-// refuseRetry is the advice of a refusal at the door: another VM can serve.
-const refuseRetry = 100 * time.Millisecond
-
 func (n *Node) requestID() string {
 	return strconv.FormatUint(n.entry.incarnation, 16) + "-" + strconv.FormatUint(n.requestNumber.Add(1), 10)
 }
@@ -242,32 +155,21 @@
 	if v := n.view.Load(); v.Deployment != nil && v.Deployment.Services[req.Service] != nil && !v.Deployment.Services[req.Service].Actions {
 		return badRequest("service " + string(req.Service) + " accepts no actions")
 	}
-	class, err := n.classOf(req.Service, req.Class)
-	if err != nil {
+	r, err := n.open(c, req.Service, req.Class, req.DeadlineMs)
+	if r == nil {
 		return err
 	}
-	deadline, err := n.deadlineOf(req.Service, req.DeadlineMs)
-	if err != nil {
-		return err
-	}
-	end, why := n.begin()
-	if end == nil {
-		return n.refuse(c, why)
-	}
-	defer end()
-	started := n.clock.now()
-	ctx, stop := watchHangUp(context.Background(), c.RequestCtx().Conn())
-	defer stop()
-	r := n.actor.run(ctx, dgonce.Request{
+	defer r.close()
+	res := n.actor.run(r.ctx, dgonce.Request{
 		Service:  req.Service,
 		Key:      req.Key,
 		Body:     []byte(req.Body),
-		Deadline: deadline,
-	}, class)
+		Deadline: r.deadline,
+	}, r.class)
 	now := n.clock.now()
-	n.stats.observe(now, req.Service, r.outcome, now.Sub(started), 0, 0)
-	status := statusOf(r.outcome)
-	if r.reason == dandeliongap.ReasonDuplicate {
+	n.stats.observe(now, req.Service, res.outcome, now.Sub(r.started), 0, 0)
+	status := statusOf(res.outcome)
+	if res.reason == dandeliongap.ReasonDuplicate {
 		status = fiber.StatusConflict
 	}
 	return c.Status(status).JSON(struct {
@@ -276,7 +178,7 @@
 		Body         string
 		Reason       string `json:",omitempty"`
 		RetryAfterMs int64  `json:",omitempty"`
-	}{n.requestID(), r.outcome.String(), string(r.body), r.reason.String(), r.retryAfter.Milliseconds()})
+	}{n.requestID(), res.outcome.String(), string(res.body), res.reason.String(), res.retryAfter.Milliseconds()})
 }
 
 // errorBody writes errors of handlers and of the router as JSON.
