Refuse whole searches under overload instead of parts of all

Cause: the gates of 20 shards refuse independently. At 150% of capacity each refuses a third, so that 90% of the searches were answered in part and only the urgent ones in full.

R17 counts for each group and class the searches that started and those that were answered in full, and refuses the difference as not run before anything is sent.

Kept: the room shrinks as full answers take more of their time, and a search counts as cut short at its first refused shard instead of at its end.

The test of R6 and R7 on an overloaded leaf now overloads it through searches of the leaf's own name, because R17 would refuse the search that it checks.

--- a/dgfanout/api.go
+++ b/dgfanout/api.go
@@ -66,6 +66,7 @@
 	RuleAction      Rule = 14
 	RuleHangUp      Rule = 15
 	RulePlain       Rule = 16
+	RuleThrottle    Rule = 17
 )
 
 // String returns "R" and the number.
--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -52,6 +52,13 @@
 //	R15 Hang-up: if the caller disconnects, every open attempt is cancelled.
 //	R16 Plain: the baseline policy picks a random replica, waits for a fixed
 //	    timeout, and neither hedges nor retries.
+//	R17 Throttle: a search is not run if more searches of its group and class
+//	    start than are answered in full because overload cuts some short, or
+//	    because full answers take more than a share of their time. The share of
+//	    searches that are refused follows from both counts. The owners refuse
+//	    independently of each other: without this rule nearly every search under
+//	    overload gets a few of its shards and none gets all. While the rule
+//	    refuses searches, none of the group and class is hedged.
 //
 // Outcome: a query without the required coverage is "not run" only if every
 // attempt that it sent was refused as not run; otherwise it is "unknown".
--- a/dgfanout/plan.go
+++ b/dgfanout/plan.go
@@ -16,6 +16,7 @@
 // groupPlan is a service with its live snapshots, oldest first.
 type groupPlan struct {
 	service   *dandeliongap.Service
+	learned   *throttles
 	snapshots []*snapshotPlan
 }
 
@@ -75,19 +76,23 @@
 func (p *Planner) forget() {
 	replicas := map[dandeliongap.ReplicaID]*replica{}
 	leaves := map[dandeliongap.ServiceName]*leaf{}
+	groups := map[dandeliongap.ServiceName]*throttles{}
 	p.share = budgetShare
 	if p.deployment != nil {
-		p.keep(replicas, leaves)
+		p.keep(replicas, leaves, groups)
 		if p.deployment.HedgeExtra != 0 {
 			p.share = max(0, p.deployment.HedgeExtra)
 		}
 	}
-	p.replicas, p.leaves = replicas, leaves
+	p.replicas, p.leaves, p.groups = replicas, leaves, groups
 	p.gone = map[goneKey]dandeliongap.Instant{}
 }
 
-func (p *Planner) keep(replicas map[dandeliongap.ReplicaID]*replica, leaves map[dandeliongap.ServiceName]*leaf) {
+func (p *Planner) keep(replicas map[dandeliongap.ReplicaID]*replica, leaves map[dandeliongap.ServiceName]*leaf, groups map[dandeliongap.ServiceName]*throttles) {
 	for name, s := range p.deployment.Services {
+		if g := p.groups[name]; g != nil {
+			groups[name] = g
+		}
 		if l := p.leaves[name]; l != nil {
 			leaves[name] = l
 		}
@@ -109,7 +114,10 @@
 	if v.Deployment == nil || v.Deployment.Services[name] == nil {
 		return nil
 	}
-	g := &groupPlan{service: v.Deployment.Services[name]}
+	if p.groups[name] == nil {
+		p.groups[name] = &throttles{}
+	}
+	g := &groupPlan{service: v.Deployment.Services[name], learned: p.groups[name]}
 	for i := range v.Catalog[name] {
 		g.snapshots = append(g.snapshots, p.snapshot(&v.Catalog[name][i]))
 	}
--- a/dgfanout/planner.go
+++ b/dgfanout/planner.go
@@ -74,6 +74,7 @@
 type Planner struct {
 	replicas   map[dandeliongap.ReplicaID]*replica
 	leaves     map[dandeliongap.ServiceName]*leaf
+	groups     map[dandeliongap.ServiceName]*throttles
 	all        latencies
 	gone       map[goneKey]dandeliongap.Instant // until when R2 avoids a snapshot
 	tokens     float64
@@ -83,6 +84,9 @@
 	plan       viewPlan
 }
 
+// throttles are those of one group, by class.
+type throttles [dandeliongap.ClassCount]throttle
+
 type goneKey struct {
 	group   dandeliongap.ServiceName
 	version dandeliongap.IndexVersion
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -87,7 +87,9 @@
 	req     Request
 	service *dandeliongap.Service
 	try
-	earlier    *try // the first try, after R9
+	throttle   *throttle // of a search that is not plain
+	overloaded bool      // a shard failed because of overload
+	earlier    *try      // the first try, after R9
 	tries      uint32
 	sent       int // attempts of all tries
 	refused    int // attempts that were refused as not run
@@ -127,6 +129,12 @@
 	if q.cut <= now {
 		return q, q.reject(dandeliongap.ReasonDeadline, dst)
 	}
+	if !req.Action && !req.Plain {
+		q.throttle = &g.learned[req.Class]
+		if q.throttle.refuses(now, rng) {
+			return q, q.refuseWhole(dst)
+		}
+	}
 	snapshot := p.first(now, q, g)
 	if snapshot == nil || len(snapshot.shards) == 0 {
 		return q, q.reject(dandeliongap.ReasonNoReplica, dst)
@@ -149,6 +157,13 @@
 	return append(dst, Action{Kind: Finish, Rule: RuleAdmission})
 }
 
+// refuseWhole ends a query that R17 refuses.
+func (q *Query) refuseWhole(dst []Action) []Action {
+	q.done, q.next = true, never
+	q.result = Result{Outcome: dandeliongap.OutcomeNotRun, Reason: dandeliongap.ReasonOverload, RetryAfter: throttleWindow}
+	return append(dst, Action{Kind: Finish, Rule: RuleThrottle})
+}
+
 func (q *Query) setDeadline(now dandeliongap.Instant) {
 	deadline := q.req.Deadline
 	if deadline == 0 {
@@ -220,6 +235,7 @@
 		t.reach -= s.shards[i].sole
 		t.pending--
 		q.reason = why.reason
+		q.overload(now, why.reason)
 		q.retryAfter = max(q.retryAfter, why.wait)
 	}
 	if q.req.Action && len(t.attempts) == 0 {
@@ -576,6 +592,7 @@
 	s := &q.shards[i]
 	s.state, s.due = shardFailed, never
 	q.reason = s.reason
+	q.overload(now, s.reason)
 	q.pending--
 	q.reach -= q.snapshot.shards[i].sole
 	if s.reason == dandeliongap.ReasonVersionGone && !q.req.Action {
@@ -691,7 +708,7 @@
 	}
 	l := p.leafOf(q.snapshot.shards[i].leaf.name)
 	s.due = roundUp(now.Add(l.learned.hedgeDelay() / 4))
-	if !v.Serving || l.learned.overloaded() {
+	if !v.Serving || l.learned.overloaded() || q.throttle.share() > 0 {
 		return dst
 	}
 	w := q.want(q.snapshot.version, true)
@@ -743,10 +760,31 @@
 func (p *Planner) finish(now dandeliongap.Instant, q *Query, rule Rule, reason dandeliongap.Reason, dst []Action) []Action {
 	q.done, q.next = true, never
 	q.result = q.conclude(rule, reason)
+	q.report(now)
 	dst = append(dst, Action{Kind: Finish, Rule: rule})
 	return p.cancelAll(now, q, rule, dst)
 }
 
+// overload tells the throttle at once that overload cuts the query short.
+func (q *Query) overload(now dandeliongap.Instant, r dandeliongap.Reason) {
+	if q.throttle != nil && !q.overloaded && isOverload(r) {
+		q.overloaded = true
+		q.throttle.cut(now)
+	}
+}
+
+// report tells the throttle that the query ended, if it was answered in full.
+// Failures other than overload say nothing about the load.
+func (q *Query) report(now dandeliongap.Instant) {
+	if q.throttle != nil && !q.overloaded && q.merged == q.snapshot.parts {
+		q.throttle.answered(now, float64(now.Sub(q.start))/float64(q.cut.Sub(q.start)))
+	}
+}
+
+func isOverload(r dandeliongap.Reason) bool {
+	return r == dandeliongap.ReasonOverload || r == dandeliongap.ReasonShed
+}
+
 // conclude returns the result of the try with the higher coverage.
 func (q *Query) conclude(rule Rule, reason dandeliongap.Reason) Result {
 	t := &q.try
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -187,18 +187,46 @@
 
 	It("R6 and R7 send nothing extra to an overloaded leaf (guards against load that grows under overload)", func() {
 		r := newRig(newView(1, 4)).warm(10 * time.Millisecond)
+		// The searches of the leaf by its own name leave the throttle of the group alone.
 		for range 20 {
-			for acts := sends(r.start(dgfanout.Request{})); len(acts) > 0; {
+			for acts := sends(r.start(dgfanout.Request{Service: "l000"})); len(acts) > 0; {
 				acts = sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonOverload))
 			}
 			Expect(r.q.Result().Outcome).To(Equal(dg.OutcomeNotRun))
 			r.now += 50 * ms
 		}
 		acts := sends(r.start(dgfanout.Request{}))
+		Expect(acts).To(HaveLen(1))
 		Expect(r.tickTo(r.now + 200*ms)).To(BeEmpty())
 		Expect(r.refuse(acts[0], dg.SubNotRun, dg.ReasonShed)).To(HaveExactElements(HaveField("Kind", dgfanout.Finish)))
 	})
 
+	DescribeTable("R17 refuses whole searches after some were cut short (guards against many partial answers under overload)",
+		func(status dg.SubStatus, why dg.Reason, class dg.Class, later time.Duration, refuses bool) {
+			r := newRig(newView(20, 2)).warm(10 * time.Millisecond)
+			for range 100 {
+				acts := sends(r.start(dgfanout.Request{}))
+				r.now += ms
+				for len(acts) > 0 {
+					acts = append(acts[1:], sends(r.refuse(acts[0], status, why))...)
+				}
+			}
+			r.now = r.now.Add(later)
+			acts := r.start(dgfanout.Request{Class: class})
+			if !refuses {
+				Expect(sends(acts)).NotTo(BeEmpty())
+				return
+			}
+			Expect(acts).To(HaveExactElements(And(HaveField("Kind", dgfanout.Finish), HaveField("Rule", dgfanout.RuleThrottle))))
+			Expect(r.q.Result()).To(And(HaveField("Outcome", dg.OutcomeNotRun), HaveField("Reason", dg.ReasonOverload), HaveField("RetryAfter", BeNumerically(">", 0))))
+		},
+		Entry("same class", dg.SubNotRun, dg.ReasonOverload, dg.ClassOrdinary, 20*time.Millisecond, true),
+		Entry("shed by the backend server", dg.SubNotRun, dg.ReasonShed, dg.ClassOrdinary, 20*time.Millisecond, true),
+		Entry("more urgent class", dg.SubNotRun, dg.ReasonOverload, dg.ClassUrgent, 20*time.Millisecond, false),
+		Entry("two seconds later", dg.SubNotRun, dg.ReasonOverload, dg.ClassOrdinary, 2*time.Second, false),
+		Entry("failure other than overload", dg.SubUnknown, dg.ReasonBroken, dg.ClassOrdinary, 20*time.Millisecond, false),
+	)
+
 	It("R7 retries at another replica, at most three attempts (guards against lost shards and endless retries)", func() {
 		r := newRig(newView(1, 5)).warm(10 * time.Millisecond)
 		seen := map[dg.ReplicaID]bool{}
