--- a/dgmember/state_test.go
+++ b/dgmember/state_test.go
@@ -26,6 +26,7 @@
 	list dgrelay.List
 	ver  dandeliongap.Version
 	acts []dgmember.Action
+	ttl  time.Duration // in the lease bodies of others
 	// on is what each other member reports; members that are missing do not
 	// answer exchanges.
 	on       map[dandeliongap.MemberID]bool
@@ -43,7 +44,7 @@
 
 // newFleet has VMs 0 to n-1; VM 0 is the one under test.
 func newFleet(n int) *fleet {
-	f := &fleet{on: map[dandeliongap.MemberID]bool{}, platform: true, ver: 1, version: 1}
+	f := &fleet{on: map[dandeliongap.MemberID]bool{}, platform: true, ver: 1, version: 1, ttl: 6 * time.Second}
 	for i := range n {
 		f.list.Members = append(f.list.Members, record(i))
 		if i > 0 {
@@ -134,7 +135,7 @@
 		f.acts = nil
 		for _, a := range as {
 			if a.Kind == dgmember.KindReadLease {
-				lease := dgmember.Lease{Member: a.Member, Attempt: 1, TTL: 6 * time.Second}
+				lease := dgmember.Lease{Member: a.Member, Attempt: 1, TTL: f.ttl}
 				f.do(f.s.SuspectLease(f.now, a.Member, true, 77, lease, nil))
 				continue
 			}
@@ -144,6 +145,22 @@
 	Expect(f.s.Heard(f.now, record(i).ID)).To(BeFalse())
 }
 
+// grownFleet has three VMs, 0 to 2, and 3 to 7 that joined since; 1 and 2 are cut
+// off.
+func grownFleet() *fleet {
+	f := newFleet(3)
+	l := dgrelay.List{Before: [][]dandeliongap.VMName{{"vm0", "vm1", "vm2"}}}
+	for i := range 8 {
+		l.Members = append(l.Members, record(i))
+		f.on[record(i).ID] = true
+	}
+	f.silence(0, 1, 2)
+	dgrelay.SortByRank(l.Members)
+	f.list, f.ver = l, 2
+	f.do(f.s.Members(f.now, f.ver, true, l, nil))
+	return f
+}
+
 var _ = Describe("lease", func() {
 	It("M1: counts from the time before the renewal was sent, not from the answer", func() {
 		s := dgmember.New(0, record(0), rand.New(rand.NewPCG(1, 1)))
@@ -291,20 +308,23 @@
 		Expect(w[0].List.Before).To(Equal([][]dandeliongap.VMName{{"vm0", "vm1", "vm2", "vm3", "vm4"}}))
 	})
 	It("F4: new members that a minority added do not make it a majority", func() {
-		f := newFleet(3)
-		l := dgrelay.List{Before: [][]dandeliongap.VMName{{"vm0", "vm1", "vm2"}}}
-		for i := range 8 { // VMs 3 to 7 joined; 1 and 2 are cut off
-			l.Members = append(l.Members, record(i))
-			f.on[record(i).ID] = true
-		}
-		delete(f.on, record(0).ID)
-		f.silence(1, 2)
-		dgrelay.SortByRank(l.Members)
-		f.list, f.ver = l, 2
-		f.do(f.s.Members(f.now, f.ver, true, l, nil))
+		f := grownFleet()
 		f.observe(1, time.Minute)
 		Expect(f.kinds(dgmember.KindDeleteLease)).To(BeEmpty())
 	})
+	It("F4: nor do they keep up rights under M2 that the majority of the list before may fence", func() {
+		f := grownFleet()
+		f.outage()
+		f.run(20 * time.Second)
+		Expect(f.rights()).To(BeFalse())
+	})
+	It("F1: waits for the TTL in the body of a holder whose list was larger", func() {
+		f := newFleet(5)
+		f.ttl = 18 * time.Second
+		f.silence(4)
+		f.observe(4, 18*time.Second)
+		Expect(f.kinds(dgmember.KindDeleteLease)).To(BeEmpty())
+	})
 	It("C1, F4: reports under another version of the list do not count", func() {
 		f := newFleet(5)
 		f.silence(4)
@@ -326,6 +346,21 @@
 		f.run(dgmember.Margin + 3*time.Second)
 		Expect(f.s.ReachesPlatform(f.now)).To(BeTrue())
 	})
+	It("C1: takes an answer for as old as its request", func() {
+		f := newFleet(3)
+		f.on = nil
+		late := f.now.Add(2900 * time.Millisecond)
+		for f.now < late {
+			f.run(100 * time.Millisecond)
+		}
+		ages := []byte{0x80, 0x80, 0x80}
+		f.s.Exchanged(f.now, dgmember.ExchangeAnswer{From: record(1).ID, Sent: late.Add(-2 * time.Second), Contacts: dgmember.Vector{Version: 1, Ages: ages}}, nil)
+		for i, b := range f.s.Vector(f.now, nil).Ages {
+			if f.list.Members[i].ID != record(0).ID {
+				Expect(b).To(Equal(byte(0x80 | 20)))
+			}
+		}
+	})
 	It("lets ages grow while they are held and never takes a report for younger than it is", func() {
 		f := newFleet(3)
 		f.on = nil
--- a/dgplacement/placement_test.go
+++ b/dgplacement/placement_test.go
@@ -130,6 +130,16 @@
 		in, _ = plan(in)
 		Expect(in.Present.Rows[0].Former).To(ContainElement(old.Owner))
 		Expect(in.Present.Rows[0].Epoch).To(BeNumerically(">", old.Epoch+1))
+
+		last := in.Present.Rows[0].Epoch
+		in.Deployment, in.Config = smaller, 4
+		in, _ = plan(in)
+		in.Members, in.MembersVersion = members(6)[3:], 2 // all former owners are dropped
+		in, _ = plan(in)
+		Expect(in.Present.Rows[0].Replica).NotTo(Equal(old.Replica))
+		in.Deployment, in.Config = full, 5
+		in, _ = plan(in)
+		Expect(in.Present.Rows[0].Epoch).To(BeNumerically(">", last))
 	})
 	It("L9: does not plan with an older list, and not after the table was deleted", func() {
 		in := planned(6, 4, 2)
