Wait for the new owner when the only usable replica of a shard moves

Cause: while a zone is out many shards have one usable replica. When its owner changed, the former one refused as not owner and the shard was given up at once, although the view named the new owner a few milliseconds later. Ruled out: the owners' queues, which keep requests for rows that are theirs; the refusals come from VMs whose row had moved on.

--- a/dgfanout/api.go
+++ b/dgfanout/api.go
@@ -67,6 +67,7 @@
 	RuleHangUp      Rule = 15
 	RulePlain       Rule = 16
 	RuleThrottle    Rule = 17
+	RuleMove        Rule = 18
 )
 
 // String returns "R" and the number.
--- a/dgfanout/choice.go
+++ b/dgfanout/choice.go
@@ -82,10 +82,13 @@
 	typical := l.learned.typical()
 	for k := range l.candidates {
 		c := &l.candidates[(start+k)%len(l.candidates)]
+		t, r := c.tierOf(now, w)
 		if skip != nil && skip(c) {
+			if r.reason == dandeliongap.ReasonNotOwner {
+				why = why.worse(r)
+			}
 			continue
 		}
-		t, r := c.tierOf(now, w)
 		switch {
 		case t == tierAvoid:
 			why = why.worse(r)
@@ -113,13 +116,15 @@
 }
 
 // worse keeps the reason that tells the caller most: a refusal that names a wait,
-// then a version that is gone.
+// then a version that is gone, then an owner that changes.
 func (r refusal) worse(o refusal) refusal {
 	switch {
 	case o.wait > 0 && (r.wait == 0 || o.wait < r.wait):
 		return o
 	case r.wait == 0 && o.reason == dandeliongap.ReasonVersionGone:
 		return o
+	case r.reason == dandeliongap.ReasonNoReplica && o.reason == dandeliongap.ReasonNotOwner:
+		return o
 	default:
 		return r
 	}
--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -59,6 +59,10 @@
 //	    independently of each other: without this rule nearly every search under
 //	    overload gets a few of its shards and none gets all. While the rule
 //	    refuses searches, none of the group and class is hedged.
+//	R18 Move: if the only usable replica of a shard was refused because its
+//	    owner changes, the shard waits for the view to name the new owner, up
+//	    to 80 ms. The refused attempt reached no backend server, so the next one
+//	    is outside of R8.
 //
 // Outcome: a query without the required coverage is "not run" only if every
 // attempt that it sent was refused as not run; otherwise it is "unknown".
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -17,6 +17,9 @@
 	// tickStep rounds the instants of hedges up, so that the number of ticks of
 	// a query is bounded by its duration and not by its shards.
 	tickStep = time.Millisecond
+	// moveStep is the time between two looks for the new owner of a replica. The
+	// news reach a VM within a few round trips between zones.
+	moveStep = 10 * time.Millisecond
 	// maxWaits bounds how often a retry waits for the budget, a quarter of the
 	// hedge delay each time.
 	maxWaits        = 8
@@ -31,7 +34,7 @@
 
 const (
 	shardOpen    shardState = iota // has an open attempt
-	shardWaiting                   // waits for the budget
+	shardWaiting                   // waits for the budget or for a new owner
 	shardMerged
 	shardFailed
 )
@@ -232,13 +235,17 @@
 			continue
 		}
 		t.shards[i] = shard{last: -1, state: shardFailed, reason: why.reason, due: never}
+		if why.reason == dandeliongap.ReasonNotOwner {
+			t.shards[i].wait(now.Add(moveStep))
+			continue
+		}
 		t.reach -= s.shards[i].sole
 		t.pending--
 		q.reason = why.reason
 		q.overload(now, why.reason)
 		q.retryAfter = max(q.retryAfter, why.wait)
 	}
-	if q.req.Action && len(t.attempts) == 0 {
+	if q.req.Action && t.pending == 0 {
 		t.reach = -1
 	}
 	return t
@@ -287,6 +294,9 @@
 		q.shards[a.shard].last = -1
 		dst = p.send(now, q, a.shard, a.c, r, dst)
 	}
+	for i := range q.shards {
+		q.next = min(q.next, q.shards[i].due)
+	}
 	if q.tries == 0 && !q.req.Plain {
 		p.fill(len(assigned))
 	}
@@ -549,32 +559,45 @@
 		return p.exhaust(now, v, q, i, rng, dst)
 	}
 	w := q.want(q.snapshot.version, true)
-	c, _ := p.choose(now, l, &w, func(c *candidate) bool { return q.tried(s, c) }, rng)
-	if c == nil {
-		return p.exhaust(now, v, q, i, rng, dst)
-	}
-	if p.take(0) {
+	c, why := p.choose(now, l, &w, func(c *candidate) bool { return q.tried(s, c) }, rng)
+	switch {
+	case c != nil && s.moved():
+		return p.send(now, q, i, c, RuleMove, dst)
+	case c != nil && p.take(0):
 		rule := RuleRetry
 		if q.req.Action {
 			rule = RuleAction
 		}
 		return p.send(now, q, i, c, rule, dst)
-	}
-	if s.waits == maxWaits {
+	case c != nil && s.waits < maxWaits:
+		s.wait(now.Add(l.learned.hedgeDelay() / 4))
+	case c == nil && why.reason == dandeliongap.ReasonNotOwner && s.waits < maxWaits:
+		s.wait(now.Add(moveStep))
+	default:
 		return p.exhaust(now, v, q, i, rng, dst)
 	}
-	s.waits++
-	s.state = shardWaiting
-	s.due = roundUp(now.Add(l.learned.hedgeDelay() / 4))
 	q.next = min(q.next, s.due)
 	return dst
 }
 
+// moved tells whether the shard waits because its replica changes its owner: no
+// backend server received an attempt (R18).
+func (s *shard) moved() bool {
+	return s.attempts == 0 || s.status == dandeliongap.SubNotRun && s.reason == dandeliongap.ReasonNotOwner
+}
+
+// wait lets the shard be decided again at an instant.
+func (s *shard) wait(until dandeliongap.Instant) {
+	s.waits++
+	s.state = shardWaiting
+	s.due = roundUp(until)
+}
+
 func (p *Planner) mayRetry(now dandeliongap.Instant, v *dandeliongap.View, q *Query, s *shard, l *leafPlan) bool {
 	if q.req.Plain || !v.Serving || now >= q.cut || s.attempts >= maxAttempts || l.learned.overloaded() {
 		return false
 	}
-	return !q.req.Action || s.status == dandeliongap.SubNotRun
+	return !q.req.Action || s.attempts == 0 || s.status == dandeliongap.SubNotRun
 }
 
 // tried reports whether the shard has tried this replica under this owner.
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -575,3 +575,39 @@
 	}
 	r.answer(dgfanout.Answer{Replica: "l000/0", Status: status, Reason: why, Mark: m, RetryAfter: time.Second})
 }
+
+var _ = Describe("R18 move", func() {
+	// moveTo names a new owner for the only replica of leaf 0.
+	moveTo := func(r *rig, owner dg.MemberID) {
+		r.change(func(v *dg.View) {
+			v.Placement = map[dg.ReplicaID]dg.Placement{"l000/0": {Replica: "l000/0", Owner: owner}}
+		})
+	}
+	It("answers in full when the view names the new owner after the refusal of the old one", func() {
+		r := newRig(newView(1, 1))
+		refused := r.first()
+		Expect(r.refuse(refused, dg.SubNotRun, dg.ReasonNotOwner)).To(BeEmpty())
+		Expect(r.start(dgfanout.Request{})).To(BeEmpty(), "a query that starts meanwhile waits too")
+		moveTo(r, "mb")
+		acts := r.tickTo(r.now + 20*ms)
+		Expect(acts).To(HaveLen(1))
+		Expect(acts[0].Owner).To(Equal(dg.MemberID("mb")))
+		Expect(acts[0].Rule).To(Equal(dgfanout.RuleMove))
+		r.okAll(acts)
+		Expect(r.q.Result().Outcome).To(Equal(dg.OutcomeAnswered))
+	})
+	It("gives up long before the deadline if no new owner is named", func() {
+		r := newRig(newView(1, 1))
+		r.refuse(r.first(), dg.SubNotRun, dg.ReasonNotOwner)
+		r.tickTo(r.now + 100*ms)
+		Expect(r.q.Done()).To(BeTrue())
+		Expect(r.q.Result().Outcome).To(Equal(dg.OutcomeNotRun))
+	})
+	It("repeats an action at the new owner, which the old one did not send", func() {
+		r := newRig(newView(1, 1))
+		acts := r.start(dgfanout.Request{Action: true, Key: "k"})
+		Expect(r.refuse(acts[0], dg.SubNotRun, dg.ReasonNotOwner)).To(BeEmpty())
+		moveTo(r, "mb")
+		Expect(r.tickTo(r.now + 20*ms)).To(HaveLen(1))
+	})
+})
