Log the inputs of a routing decision

Cause: operators asked for the inputs of each decision, and the line named only the choice. It now has the expected wait of the replica (rule R3), its limit and its queue length.

--- a/dgfanout/api.go
+++ b/dgfanout/api.go
@@ -83,6 +83,10 @@
 	Owner    dandeliongap.MemberID // the member that owned the replica when the attempt was sent
 	Index    dandeliongap.IndexVersion
 	Deadline dandeliongap.Instant // of the attempt; earlier than the query's
+	// Wait is the expected wait that the choice of a Send was based on (R3), and
+	// Mark the last mark of the replica.
+	Wait time.Duration
+	Mark dandeliongap.Mark
 }
 
 // Answer is the result of one attempt as the owner, or the driver for a lost
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -320,6 +320,7 @@
 	s := &q.shards[i]
 	a := attempt{c: c, sent: now, shard: i, prev: s.last, num: s.attempts, open: true}
 	r := c.learned
+	wait := time.Duration(r.wait(now, c.replica, c.leaf.typical()))
 	if r.lost && !r.probing {
 		r.probing, a.probe = true, true
 	}
@@ -333,7 +334,9 @@
 	q.attempts = append(q.attempts, a)
 	q.open++
 	q.sent++
-	return append(dst, q.action(Send, rule, &a))
+	act := q.action(Send, rule, &a)
+	act.Wait, act.Mark = wait, r.mark
+	return append(dst, act)
 }
 
 // dueAfter returns when a shard needs a decision after an attempt was sent.
--- a/dgnode/decisionlog.go
+++ b/dgnode/decisionlog.go
@@ -51,6 +51,9 @@
 		Str("Owner", string(a.Owner)).
 		Str("Class", a.Class.String()).
 		Uint64("Index", uint64(a.Index)).
+		Int64("WaitUs", a.Wait.Microseconds()).
+		Int("Limit", int(a.Mark.Limit)).
+		Int("Queued", a.Mark.Queued).
 		Send()
 }
 
