Answer 409 for another body only, not for a repeat with an unknown outcome

The reason "duplicate key" also stands with the outcome "unknown": the same body is under way at another VM. Such a repeat is answered 504 now.

Guarded by TestActionsRunAtMostOnce.

--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -265,7 +265,9 @@
 	now := n.clock.now()
 	n.stats.observe(now, req.Service, r.outcome, now.Sub(started), 0, 0)
 	status := statusOf(r.outcome)
-	if r.reason == dandeliongap.ReasonDuplicate {
+	if r.reason == dandeliongap.ReasonDuplicate && r.outcome == dandeliongap.OutcomeNotRun {
+		// Only another body is certain not to have run. The same body may be
+		// running for another caller: unknown.
 		status = fiber.StatusConflict
 	}
 	return c.Status(status).JSON(struct {
