--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -169,7 +169,9 @@
 	now := n.clock.now()
 	n.stats.observe(now, req.Service, res.outcome, now.Sub(r.started), 0, 0)
 	status := statusOf(res.outcome)
-	if res.reason == dandeliongap.ReasonDuplicate {
+	if res.reason == dandeliongap.ReasonDuplicate && res.outcome == dandeliongap.OutcomeNotRun {
+		// Only another body is certain not to have run. The same body may be
+		// running for another caller: unknown.
 		status = fiber.StatusConflict
 	}
 	return c.Status(status).JSON(struct {
