--- a/dgbackend/client.go
+++ b/dgbackend/client.go
@@ -15,6 +15,10 @@
 type Options struct {
 	// DialTimeout bounds a TCP connect. Default: DefaultDialTimeout.
 	DialTimeout time.Duration
+	// ClockSkew is how far the clocks of VMs and backend servers may differ. Send
+	// waits for an answer this much longer than the deadline; then the backend
+	// server has given up too. Default: DefaultClockSkew.
+	ClockSkew time.Duration
 	// MaxAnswer bounds the body of an answer in bytes. Default: DefaultMaxAnswer.
 	MaxAnswer int
 }
@@ -22,6 +26,7 @@
 // Defaults of Options.
 const (
 	DefaultDialTimeout = time.Second
+	DefaultClockSkew   = 250 * time.Millisecond
 	DefaultMaxAnswer   = 4 << 20
 )
 
@@ -67,6 +72,9 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.ClockSkew <= 0 {
+		o.ClockSkew = DefaultClockSkew
+	}
 	if o.MaxAnswer <= 0 {
 		o.MaxAnswer = DefaultMaxAnswer
 	}
--- a/dgbackend/send.go
+++ b/dgbackend/send.go
@@ -13,11 +13,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// clockMargin is how much longer than the deadline Send waits for an answer. The
-// clocks of VMs and backend servers agree within it, so that afterwards the
-// backend server has given up too.
-const clockMargin = 250 * time.Millisecond
-
 // cancelledGrace is the time that the answer of a cancelled request has to
 // arrive after the backend server confirmed that its slot is free.
 const cancelledGrace = 100 * time.Millisecond
@@ -88,7 +83,7 @@
 	var buf [maxIDBytes]byte
 	id := appendID(buf[:0], req.ID)
 	p.fill(hreq, req, id, deadline)
-	end := deadline.Add(clockMargin)
+	end := deadline.Add(p.c.opt.ClockSkew)
 	began, err := cn.send(hreq, end)
 	if began {
 		p.c.stats.requests.Add(1)
--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -99,15 +99,22 @@
 // is wrong was printed already.
 var ErrFailed = errors.New("failed")
 
+// ErrUsage reports a command line that lacks something.
+var ErrUsage = errors.New("wrong command line")
+
 // ExitCode returns the exit code of a command's error.
 func ExitCode(err error) int {
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.Is(err, ErrUsage):
+		return ExitUsage
 	case errors.Is(err, dandeliongap.ErrConflict):
 		return ExitConflict
 	case errors.Is(err, dandeliongap.ErrUnauthorized):
 		return ExitUnauthorized
+	case errors.Is(err, dandeliongap.ErrNotRun):
+		return ExitFailed
 	case errors.Is(err, dandeliongap.ErrUnreachable):
 		return ExitUnreachable
 	default:
--- a/dgcommand/config.go
+++ b/dgcommand/config.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	if c.File == "" {
-		return fmt.Errorf("a file or --explain must be given: %w", dandeliongap.ErrInvalid)
+		return fmt.Errorf("%w: a file or --explain must be given", ErrUsage)
 	}
 	_, d, err := readDeployment(env, c.File, c.JSON)
 	if err != nil {
--- a/dgcommand/request.go
+++ b/dgcommand/request.go
@@ -124,7 +124,7 @@
 // Help adds an example and the exit codes.
 func (ActCommand) Help() string {
 	return "Example: dandeliongap act quarry-dispatch \"40 sleepers to Galle\" --key order-1981\n\n" +
-		"Exit codes: 0 answered, 1 refused as not run, 3 unknown (repeat with the same key to learn the outcome)."
+		"Exit codes: 0 answered, 1 refused as not run, 3 unknown (repeat with the same key to learn the outcome), 4 the key was used with another request."
 }
 
 // Run prints the answer or the refusal, with the key.
--- a/dgcommand/status.go
+++ b/dgcommand/status.go
@@ -39,7 +39,8 @@
 	Service  dandeliongap.ServiceName
 	Leaves   []dandeliongap.ServiceName // of a group
 	Requests int64
-	Refused  int64
+	Refused  int64 // not run
+	Unknown  int64
 	Coverage float64
 	P50Ms    float64
 	P99Ms    float64 // the highest of any VM
@@ -111,10 +112,10 @@
 	for _, vm := range s.VMs {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n", vm.VM, vm.Zone, vm.State, vm.Reachable, vm.Serving, vm.Config, vm.Replicas)
 	}
-	fmt.Fprintln(w, "\nSERVICE\tREQUESTS/MIN\tREFUSED\tCOVERAGE\tP50 MS\tP99 MS\tREPLICAS")
+	fmt.Fprintln(w, "\nSERVICE\tREQUESTS/MIN\tREFUSED\tUNKNOWN\tCOVERAGE\tP50 MS\tP99 MS\tREPLICAS")
 	for _, sv := range s.summary(all) {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%.1f\t%.1f\t%s\n",
-			sv.Service, sv.Requests, sv.Refused, sv.coverage(), sv.P50Ms, sv.P99Ms, sv.states())
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%.1f\t%.1f\t%s\n",
+			sv.Service, sv.Requests, sv.Refused, sv.Unknown, sv.coverage(), sv.P50Ms, sv.P99Ms, sv.states())
 	}
 	if !all {
 		s.printUnusual(w)
@@ -155,7 +156,7 @@
 
 // coverage is a dash while no search was answered.
 func (sv *ServiceStatus) coverage() string {
-	if sv.Requests <= sv.Refused {
+	if sv.Requests <= sv.Refused+sv.Unknown {
 		return "-"
 	}
 	return fmt.Sprintf("%.2f%%", 100*sv.Coverage)
--- a/dgdaemon/daemon.go
+++ b/dgdaemon/daemon.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	backend := dgbackend.New(dgbackend.Options{})
+	backend := dgbackend.New(dgbackend.Options{ClockSkew: s.ClockSkew})
 	for {
 		n, err := dgnode.Start(dgnode.Options{Settings: s, Store: store, VMs: store, Backend: backend, Log: logger, Decisions: decisions})
 		if err != nil {
--- a/dgmember/action.go
+++ b/dgmember/action.go
@@ -25,13 +25,13 @@
 	F3
 	F4
 	L1
-	C1
-	C2
+	K1
+	K2
 	J1
 	ruleCount
 )
 
-var ruleNames = [ruleCount]string{"", "M1", "M2", "M3", "M4", "M5", "M6", "F1", "F2", "F3", "F4", "L1", "C1", "C2", "J1"}
+var ruleNames = [ruleCount]string{"", "M1", "M2", "M3", "M4", "M5", "M6", "F1", "F2", "F3", "F4", "L1", "K1", "K2", "J1"}
 
 // String returns the rule's number as log lines cite it.
 func (r Rule) String() string {
--- a/dgmember/doc.go
+++ b/dgmember/doc.go
@@ -34,9 +34,9 @@
 //     its majority has given up.
 //   - L1: The member with the lowest rank among those heard of acts first, each
 //     next one 1 s later.
-//   - C1: Only the answer to an exchange counts as contact, and it is as old as
+//   - K1: Only the answer to an exchange counts as contact, and it is as old as
 //     its request. A delayed request could be of any age.
-//   - C2: A VM that reports the platform as unreachable goes on to do so for at
+//   - K2: A VM that reports the platform as unreachable goes on to do so for at
 //     least W + margin, so that no VM sees only the reports before and after.
 //   - J1: A VM that is not listed, or listed with another state, asks the member
 //     with the lowest rank, and after three attempts writes the list itself.
@@ -46,7 +46,7 @@
 // held at t - W too, by reports that were made in [t - 2W, t - W]. Both
 // majorities share a member that then reported the platform as unreachable, and
 // that the other VM had reports of, at most W old, over all of [t - 2W, t], that
-// all said the opposite. By C2 this cannot be. With different versions of the
+// all said the opposite. By K2 this cannot be. With different versions of the
 // list, by F4 a majority of the older one has adopted the newer one, and no
 // majority reports under the older one any more. After t the holder can only come back by a
 // renewal, which changes the version (F2).
--- a/dgmember/state.go
+++ b/dgmember/state.go
@@ -68,7 +68,7 @@
 // Listed tells whether this VM is in the list of members.
 func (s *State) Listed() bool { return s.roster.self >= 0 }
 
-// ReachesPlatform is the bit that this VM reports of itself (C2).
+// ReachesPlatform is the bit that this VM reports of itself (K2).
 func (s *State) ReachesPlatform(now dandeliongap.Instant) bool {
 	s.enter(now)
 	return s.up
@@ -160,7 +160,7 @@
 	return append(dst, Action{Kind: KindStopLost, Rule: rule, Member: s.self.ID})
 }
 
-// Exchanged reports the answer to an exchange that this VM started (C1).
+// Exchanged reports the answer to an exchange that this VM started (K1).
 func (s *State) Exchanged(now dandeliongap.Instant, a ExchangeAnswer, dst []Action) []Action {
 	s.enter(now)
 	from, ok := s.index[a.From]
@@ -262,7 +262,7 @@
 	return next
 }
 
-// reach is what this VM reports about the platform (C2).
+// reach is what this VM reports about the platform (K2).
 type reach struct {
 	up       bool
 	changed  dandeliongap.Instant // when up changed
@@ -293,7 +293,7 @@
 func (s *State) missed(now dandeliongap.Instant) {
 	s.failures++
 	// While a third of the calls fails, one or two failures in a row are common.
-	// Taking them for an outage would stop all fencing: by C2 each such report
+	// Taking them for an outage would stop all fencing: by K2 each such report
 	// lasts W + margin, and a majority without one would be rare.
 	if s.failures >= 3 || (s.failures >= 2 && 4*s.othersCutOff() >= len(s.known)) {
 		s.turnOff(now)
--- a/dgmember/state_test.go
+++ b/dgmember/state_test.go
@@ -325,7 +325,7 @@
 		f.observe(4, 18*time.Second)
 		Expect(f.kinds(dgmember.KindDeleteLease)).To(BeEmpty())
 	})
-	It("C1, F4: reports under another version of the list do not count", func() {
+	It("K1, F4: reports under another version of the list do not count", func() {
 		f := newFleet(5)
 		f.silence(4)
 		f.ver = 9 // the others have a list that this VM has not seen
@@ -335,7 +335,7 @@
 })
 
 var _ = Describe("contact", func() {
-	It("C2: reports an outage for at least W + margin, also when the platform is back at once", func() {
+	It("K2: reports an outage for at least W + margin, also when the platform is back at once", func() {
 		f := newFleet(3)
 		Expect(f.s.ReachesPlatform(f.now)).To(BeTrue())
 		for range 3 {
@@ -346,7 +346,7 @@
 		f.run(dgmember.Margin + 3*time.Second)
 		Expect(f.s.ReachesPlatform(f.now)).To(BeTrue())
 	})
-	It("C1: takes an answer for as old as its request", func() {
+	It("K1: takes an answer for as old as its request", func() {
 		f := newFleet(3)
 		f.on = nil
 		late := f.now.Add(2900 * time.Millisecond)
--- a/dgnode/admit.go
+++ b/dgnode/admit.go
@@ -109,6 +109,7 @@
 
 // refuse answers a request that was not started.
 func (n *Node) refuse(c fiber.Ctx, why dandeliongap.Reason) error {
+	n.stats.count(dandeliongap.OutcomeNotRun, false)
 	n.log.Info("refuse", "Rule", "E1", "Path", c.Path(), "Reason", why)
 	return c.Status(fiber.StatusServiceUnavailable).JSON(struct {
 		ID           string `json:"Id"`
--- a/dgnode/change.go
+++ b/dgnode/change.go
@@ -18,12 +18,12 @@
 
 // Rules of operators' changes, cited in log lines:
 //
-//	O1. A change is checked in full before anything is written.
-//	O2. A change of the text is one conditional write on the version that the
+//	D1. A change is checked in full before anything is written.
+//	D2. A change of the text is one conditional write on the version that the
 //	    operator names. Another version is a conflict; nothing is merged.
-//	O3. A write without an answer is read back. The change id, or its place among
+//	D3. A write without an answer is read back. The change id, or its place among
 //	    the recent change ids, proves that it was accepted.
-//	O4. Zone changes are merged: a conflict is repeated on the newer version.
+//	D4. Zone changes are merged: a conflict is repeated on the newer version.
 const (
 	// changeLimit bounds the attempts of one change.
 	changeLimit = 5 * time.Second
@@ -75,7 +75,7 @@
 		if err == nil {
 			version, done, perr := c.tryApply(ctx, base, text, given, id)
 			if done {
-				c.log.Info("configuration", "Rule", "O2", "Choice", "apply", "Given", given, "Version", version, "Error", perr)
+				c.log.Info("configuration", "Rule", "D2", "Choice", "apply", "Given", given, "Version", version, "Error", perr)
 				return version, perr
 			}
 			err = perr
@@ -162,7 +162,7 @@
 	for {
 		version, err := c.tryZone(ctx, name, out)
 		if err == nil {
-			c.log.Info("zone", "Rule", "O4", "Zone", name, "Out", out, "Version", version)
+			c.log.Info("zone", "Rule", "D4", "Zone", name, "Out", out, "Version", version)
 			return version, nil
 		}
 		if !pause(ctx, backoff.Next(rng)) {
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -80,6 +80,8 @@
 	planSince  dandeliongap.Instant
 	nextHealth dandeliongap.Instant
 	nextVMs    dandeliongap.Instant
+	lastWall   time.Time // at lastTick
+	lastTick   dandeliongap.Instant
 	pulling    map[dandeliongap.MemberID]bool
 	replies    map[releaseKey][]chan dgplacement.Action
 	waiting    map[dandeliongap.ReplicaID]dgplacement.Action // grants that wait for the configuration
@@ -156,11 +158,28 @@
 			return
 		}
 		now := c.clock.now()
+		c.noticePause(now)
 		c.tick(now)
 		timer.Reset(min(max(c.next(now).Sub(now), time.Millisecond), idleTick))
 	}
 }
 
+// pauseAfter is the difference between the progress of the wall clock and of the
+// monotonic clock from which this VM was suspended. dgmember notices pauses in
+// which both clocks go on.
+const pauseAfter = time.Second
+
+// noticePause tells dgmember about a suspension during which the monotonic clock
+// stood still (M6).
+func (c *control) noticePause(now dandeliongap.Instant) {
+	wall := time.Now().Round(0)
+	if !c.lastWall.IsZero() && wall.Sub(c.lastWall)-now.Sub(c.lastTick) > pauseAfter {
+		c.log.Warn("membership", "Rule", dgmember.M6, "Choice", "give up rights until renewed", "Gap", wall.Sub(c.lastWall))
+		c.member.Paused(now)
+	}
+	c.lastWall, c.lastTick = wall, now
+}
+
 func (c *control) next(now dandeliongap.Instant) dandeliongap.Instant {
 	return min(c.member.Next(), c.relay.Next(), c.holdings.Next(now))
 }
@@ -215,7 +234,7 @@
 func (c *control) serving(now dandeliongap.Instant) (bool, dandeliongap.Reason) {
 	ok, why := c.member.Serving(now)
 	if ok && c.deployment == nil {
-		return false, dandeliongap.ReasonUnknownName
+		return false, dandeliongap.ReasonNoConfig
 	}
 	if ok {
 		why = dandeliongap.ReasonNone
--- a/dgnode/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package dgnode is the daemon that runs on every entry VM.
-package dgnode
--- a/dgnode/gates.go
+++ b/dgnode/gates.go
@@ -31,7 +31,10 @@
 	mu     sync.RWMutex
 	gates  map[dandeliongap.ReplicaID]*gate
 	rights dandeliongap.Instant // end of this VM's rights
-	closed bool                 // there are no rights any more
+	// rightsWall is the same end by the wall clock of the moment when it was
+	// set. Monotonic clocks can stand still while a VM is suspended.
+	rightsWall time.Time
+	closed     bool // there are no rights any more
 }
 
 func newGates(c clock, backend dandeliongap.BackendClient, l *decisionLog, drained func(dandeliongap.ReplicaID)) *gates {
@@ -104,6 +107,9 @@
 	}
 	changed := gs.rights != end
 	gs.rights = end
+	if changed {
+		gs.rightsWall = gs.clock.wall(end).Round(0)
+	}
 	gs.mu.Unlock()
 	if !changed {
 		return
@@ -116,6 +122,18 @@
 	}
 }
 
+// deadline returns the wall-clock deadline of an attempt, at most the end of the
+// rights, so that a backend server refuses what is sent after a suspension (M5).
+func (gs *gates) deadline(t dandeliongap.Instant) time.Time {
+	wall := gs.clock.wall(t)
+	gs.mu.RLock()
+	defer gs.mu.RUnlock()
+	if wall.After(gs.rightsWall) {
+		return gs.rightsWall
+	}
+	return wall
+}
+
 func (gs *gates) rightsEnd() dandeliongap.Instant {
 	gs.mu.RLock()
 	defer gs.mu.RUnlock()
@@ -257,7 +275,7 @@
 	case dggate.Dispatch:
 		ctx, cancel := context.WithCancel(context.Background())
 		w.cancel = cancel
-		w.req.Deadline = g.owner.clock.wall(a.Deadline)
+		w.req.Deadline = g.owner.deadline(a.Deadline)
 		replica := g.replica
 		g.owner.wg.Go(func() { g.send(ctx, &replica, w) })
 	case dggate.Refuse:
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -13,6 +13,14 @@
 //	    has too many requests in flight, or is in a zone that was taken out
 //	    longer ago than callers may keep addresses.
 //	E2. An operator's call without the token is refused without a hint.
+//
+// Rules of the graceful shutdown:
+//
+//	S1. The VM leaves the list of addresses and hands its replicas over. It
+//	    serves callers for as long as they may keep its address.
+//	S2. Requests that are under way at the time limit of the settings are cut
+//	    off, which is logged with their number.
+//	S3. Connections that carry no request are closed.
 package dgnode
 
 import (
--- a/dgnode/stats.go
+++ b/dgnode/stats.go
@@ -57,13 +57,15 @@
 	start         time.Duration
 	latency       *hdrhistogram.Histogram // microseconds
 	merged, total int64                   // parts
-	refused       int64
+	refused       int64                   // not run
+	unknown       int64
 }
 
 // serviceSummary is the last minute of one service for operators.
 type serviceSummary struct {
 	Requests int64
-	Refused  int64
+	Refused  int64 // not run
+	Unknown  int64
 	Merged   int64 // parts
 	Total    int64 // parts
 	P50Ms    float64
@@ -81,9 +83,13 @@
 		s.services[service] = sv
 	}
 	i := sv.interval(time.Duration(now))
-	if outcome != dandeliongap.OutcomeAnswered {
+	switch outcome {
+	case dandeliongap.OutcomeNotRun:
 		i.refused++
 		return
+	case dandeliongap.OutcomeUnknown:
+		i.unknown++
+		return
 	}
 	_ = i.latency.RecordValue(min(latency.Microseconds(), maxLatencyUs))
 	i.merged += int64(merged)
@@ -137,8 +143,9 @@
 		sum.Merged += in.merged
 		sum.Total += in.total
 		sum.Refused += in.refused
+		sum.Unknown += in.unknown
 	}
-	sum.Requests = all.TotalCount() + sum.Refused
+	sum.Requests = all.TotalCount() + sum.Refused + sum.Unknown
 	sum.P50Ms = float64(all.ValueAtQuantile(50)) / 1000
 	sum.P99Ms = float64(all.ValueAtQuantile(99)) / 1000
 	return sum, sum.Requests > 0
--- a/dgnode/status.go
+++ b/dgnode/status.go
@@ -50,7 +50,8 @@
 	Service  dandeliongap.ServiceName
 	Leaves   []dandeliongap.ServiceName // of a group
 	Requests int64
-	Refused  int64
+	Refused  int64 // not run
+	Unknown  int64
 	Coverage float64
 	P50Ms    float64 // the highest of any VM
 	P99Ms    float64 // the highest of any VM
@@ -104,6 +105,7 @@
 			Service:  string(name),
 			Requests: s.Requests,
 			Refused:  s.Refused,
+			Unknown:  s.Unknown,
 			Merged:   s.Merged,
 			Total:    s.Total,
 			P50Ms:    s.P50Ms,
@@ -212,6 +214,7 @@
 			sv := services[name]
 			sv.Requests += s.GetRequests()
 			sv.Refused += s.GetRefused()
+			sv.Unknown += s.GetUnknown()
 			sv.P50Ms = max(sv.P50Ms, s.GetP50Ms())
 			sv.P99Ms = max(sv.P99Ms, s.GetP99Ms())
 			parts[name].merged += s.GetMerged()
@@ -226,7 +229,7 @@
 		}
 		if sum := parts[name]; sum.total > 0 {
 			sv.Coverage = float64(sum.merged) / float64(sum.total)
-		} else if sv.Requests > sv.Refused {
+		} else if sv.Requests > sv.Refused+sv.Unknown {
 			sv.Coverage = 1
 		}
 		if s.Kind == dandeliongap.KindGroup {
--- a/dgpeer/outbox.go
+++ b/dgpeer/outbox.go
@@ -2,15 +2,15 @@
 //
 // Sub-requests, cancellations and sub-answers are batched without a timer:
 //
-//	B1. At most MaxCalls Submit calls and as many Deliver calls per peer are
+//	N1. At most MaxCalls Submit calls and as many Deliver calls per peer are
 //	    under way at a time. One call alone would make an item wait for up to a
 //	    round trip between zones.
-//	B2. What arrives meanwhile goes with the next call, at most MaxBatch items.
-//	B3. No call is repeated. A failed Submit fails each of its sub-requests as
+//	N2. What arrives meanwhile goes with the next call, at most MaxBatch items.
+//	N3. No call is repeated. A failed Submit fails each of its sub-requests as
 //	    unknown, or as not run if the connection could not be made.
-//	B4. A failed Deliver drops its answers: the entry VM treats the
+//	N4. A failed Deliver drops its answers: the entry VM treats the
 //	    sub-requests as lost at its own deadline or retries them elsewhere.
-//	B5. A queue longer than MaxQueue refuses what is added as not run.
+//	N5. A queue longer than MaxQueue refuses what is added as not run.
 package dgpeer
 
 import (
--- a/dgwire/convert.go
+++ b/dgwire/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -49,7 +50,7 @@
 // of range.
 func (m *SubAnswer) Value() (dandeliongap.BackendAnswer, dandeliongap.Mark, error) {
 	var mark dandeliongap.Mark
-	if m.GetStatus() > uint32(dandeliongap.SubCancelled) || m.GetReason() > uint32(dandeliongap.ReasonUnknownName) {
+	if m.GetStatus() > uint32(dandeliongap.SubCancelled) || m.GetReason() > math.MaxUint8 || !dandeliongap.Reason(m.GetReason()).Valid() {
 		return dandeliongap.BackendAnswer{}, mark, fmt.Errorf("sub-answer status %d reason %d: %w", m.GetStatus(), m.GetReason(), dandeliongap.ErrInvalid)
 	}
 	if xxhash.Sum64(m.GetBody()) != m.GetBodyHash() {
--- a/types.go
+++ b/types.go
@@ -184,6 +184,7 @@
 	ReasonStopping           // this VM shuts down
 	ReasonLease              // this VM's lease lapsed
 	ReasonUnknownName        // no such service
+	ReasonNoConfig           // no configuration was accepted yet, or this VM has none
 	reasonCount
 )
 
@@ -191,6 +192,7 @@
 	"", "overload", "shed", "draining", "not owner", "zone taken out", "index version gone", "deadline",
 	"connection lost", "broken answer", "cancelled", "isolated", "platform unreachable", "no replica",
 	"coverage too low", "duplicate key", "stopping", "lease lapsed", "unknown service",
+	"no configuration",
 }
 
 // String returns the text that answers and log lines use.
@@ -201,6 +203,9 @@
 	return "invalid"
 }
 
+// Valid tells whether r is one of the reasons above.
+func (r Reason) Valid() bool { return r < reasonCount }
+
 // Mark is what an answer or refusal tells about the replica that gave it. It
 // travels with sub-answers from the owner to the entry VM.
 type Mark struct {
--- a/view.go
+++ b/view.go
@@ -82,7 +82,7 @@
 }
 
 // Catalog lists the live snapshots of each group, oldest first. Source: the
-// platform object "index/catalog".
+// platform object "state/catalog".
 type Catalog map[ServiceName][]Snapshot
 
 // MemberState is what a member says of itself.
