--- a/dgdemo/helpers_test.go
+++ b/dgdemo/helpers_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,24 +72,59 @@
 	runner *dgdemo.Runner
 }
 
-// start runs a cluster of smallText until the end of the test.
-func start(t testing.TB, vms int, options ...func(*dgdemo.ClusterOptions)) *fixture {
+// clusterVMs is the number of VMs that each test finds and leaves.
+const clusterVMs = 6
+
+// started is the cluster that the tests share, since its start takes seconds.
+var started struct {
+	cluster *dgdemo.Cluster
+	log     pausableLog
+}
+
+// shared returns the cluster, started by the first test that needs it, with all
+// VMs serving. Each test leaves the platform well and all VMs replaced that it
+// stopped.
+func shared(t testing.TB) *fixture {
+	t.Helper()
+	if started.cluster == nil {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		cluster, err := dgdemo.NewCluster(ctx, dgdemo.ClusterOptions{
+			Text: smallText(), VMs: clusterVMs, Seed: 1, Service: dgdemo.ServiceTime, Log: &started.log,
+		})
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		started.cluster = cluster
+	}
+	f := use(t, started.cluster)
+	f.until("every VM serves", f.Ready)
+	return f
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if started.cluster != nil {
+		if err := started.cluster.Close(); err != nil {
+			fmt.Println("cluster not closed:", err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+// seeds gives each test its own keys of actions in the shared cluster.
+var seeds atomic.Uint64
+
+// use returns a fixture around a running cluster.
+func use(t testing.TB, cluster *dgdemo.Cluster) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*patience)
 	t.Cleanup(cancel)
-	o := dgdemo.ClusterOptions{Text: smallText(), VMs: vms, Seed: 1, Service: dgdemo.ServiceTime}
-	for _, set := range options {
-		set(&o)
-	}
-	f := &fixture{WithT: NewWithT(t), ctx: ctx}
+	f := &fixture{WithT: NewWithT(t), Cluster: cluster, ctx: ctx}
 	var err error
-	f.Cluster, err = dgdemo.NewCluster(ctx, o)
-	f.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { f.Expect(f.Close()).To(Succeed()) })
 	f.client, err = f.Client()
 	f.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { f.Expect(f.client.Close()).To(Succeed()) })
-	f.runner, err = dgdemo.NewRunner(f.Cluster, dgdemo.Mix(f.Deployment), 1)
+	f.runner, err = dgdemo.NewRunner(f.Cluster, dgdemo.Mix(f.Deployment), seeds.Add(1))
 	f.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { f.Expect(f.runner.Close()).To(Succeed()) })
 	return f
@@ -150,6 +187,15 @@
 	return true
 }
 
+// refill adds VMs in place of those that the test stopped.
+func (f *fixture) refill() {
+	for i := len(f.Nodes()); i < clusterVMs; i++ {
+		_, err := f.AddVM(dandeliongap.VMName(fmt.Sprintf("added-%d", seeds.Add(1))), f.Deployment.Zones[i%len(f.Deployment.Zones)])
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	f.until("every VM serves", f.Ready)
+}
+
 // ownedByLive tells whether every VM sees each replica at a running VM.
 func (f *fixture) ownedByLive() bool {
 	live := map[dandeliongap.MemberID]bool{}
--- /dev/null
+++ b/dgdemo/once_test.go
@@ -0,0 +1,66 @@
+package dgdemo_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgstandin"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+)
+
+// Guards against an action that runs twice because its caller repeats it at
+// several VMs, and against answers that contradict each other or the backend
+// servers.
+func TestActionsRunAtMostOnce(t *testing.T) {
+	f := shared(t)
+	const keys, atOnce = 30, 3
+	told := make([][atOnce]answer, keys)
+	f.platform(dgstandin.PlatformFaults{LoseShare: 0.3})
+	defer f.platform(dgstandin.PlatformFaults{})
+	var callers conc.WaitGroup
+	for k := range keys {
+		for i := range atOnce {
+			n := f.Nodes()[(k+i)%clusterVMs]
+			callers.Go(func() { told[k][i] = f.actAt(n, fmt.Sprintf("repeated-%d", k), "40 sleepers") })
+		}
+	}
+	callers.Wait()
+	f.platform(dgstandin.PlatformFaults{})
+	answered, refusedByAll := 0, 0
+	for k := range keys {
+		key := dandeliongap.IdempotencyKey(fmt.Sprintf("repeated-%d", k))
+		ran := f.Fleet.Ledger().Runs(key)
+		notRun := 0
+		for _, a := range told[k] {
+			f.Expect(a.Status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout), "%+v", a)
+			switch a.Outcome {
+			case "answered":
+				answered++
+				f.Expect(ran).To(Equal(1), "%s: %+v", key, told[k])
+			case "not run":
+				notRun++
+			}
+		}
+		if notRun == atOnce {
+			refusedByAll++
+			f.Expect(ran).To(BeZero(), "%s: %+v", key, told[k])
+		}
+		// The platform is well again: the caller learns the outcome at any VM.
+		var last answer
+		f.until("a repeat is answered or unknown", func() bool {
+			last = f.actAt(f.Nodes()[k%clusterVMs], string(key), "40 sleepers")
+			return last.Outcome != "not run"
+		})
+		if last.Outcome == "answered" {
+			f.Expect(f.Fleet.Ledger().Runs(key)).To(Equal(1), "%s", key)
+		}
+		f.Expect(f.actAt(f.Nodes()[(k+1)%clusterVMs], string(key), "80 sleepers")).To(And(
+			HaveField("Status", http.StatusConflict), HaveField("Reason", dandeliongap.ReasonDuplicate.String())))
+	}
+	t.Logf("%d answers, %d keys refused by all VMs", answered, refusedByAll)
+	f.Expect(answered).To(BeNumerically(">", 0))
+	f.Expect(f.Fleet.Counters().DuplicateRuns).To(BeZero())
+}
--- a/dgdemo/operators_test.go
+++ b/dgdemo/operators_test.go
@@ -49,7 +49,7 @@
 // a conflict without the versions, a false report after a lost platform answer,
 // and a VM on which an earlier text comes back.
 func TestOperatorsRace(t *testing.T) {
-	f := start(t, 3)
+	f := shared(t)
 	reverts := f.watchConfig()
 	_, base, err := f.client.GetConfig(f.ctx)
 	f.Expect(err).NotTo(HaveOccurred())
@@ -79,7 +79,7 @@
 // Guards against an operator who is told that a change failed or conflicts with
 // itself, although the write took effect and only its answer was lost.
 func TestLostAnswerOfAnAcceptedChange(t *testing.T) {
-	f := start(t, 3)
+	f := shared(t)
 	_, base, err := f.client.GetConfig(f.ctx)
 	f.Expect(err).NotTo(HaveOccurred())
 	f.platform(dgstandin.PlatformFaults{LoseShare: 1})
--- a/dgdemo/outage_test.go
+++ b/dgdemo/outage_test.go
@@ -14,11 +14,12 @@
 // Guards against a tier that needs the platform for searches, runs actions that
 // it cannot record, or does not recover after an outage.
 func TestPlatformOutage(t *testing.T) {
-	f := start(t, 3)
-	searches, err := dgdemo.NewRunner(f.Cluster, []dgdemo.Job{{Service: search, Share: 1}}, 1)
+	f := shared(t)
+	searches, err := dgdemo.NewRunner(f.Cluster, []dgdemo.Job{{Service: search, Share: 1}}, seeds.Add(1))
 	f.Expect(err).NotTo(HaveOccurred())
 	defer searches.Close()
 	f.runner, searches = searches, f.runner
+	ran := f.Fleet.Ledger().All()
 	tally := f.underLoad(func() {
 		f.platform(dgstandin.PlatformFaults{Down: dgstandin.Refused})
 		for i, n := range f.Nodes() {
@@ -31,9 +32,11 @@
 		f.Expect(err).NotTo(HaveOccurred())
 		f.until("a VM that starts in the outage serves", func() bool { return late.View().Serving })
 		f.Expect(f.searchAt(late)).To(And(HaveField("Status", http.StatusOK), HaveField("Merged", 10), HaveField("Total", 10)))
-		f.Expect(f.Fleet.Ledger().All()).To(BeEmpty())
+		f.Expect(f.Fleet.Ledger().All()).To(HaveLen(len(ran)), "no action ran in the outage")
 		f.platform(dgstandin.PlatformFaults{})
 		f.until("the late VM is a member", f.Ready)
+		f.Expect(late.Close()).To(Succeed())
+		f.Expect(f.KillVM(f.indexOf(late.Member()))).To(Succeed())
 	})
 	f.expectAllAnswered(tally)
 	f.expectPromisesKept(tally)
--- /dev/null
+++ b/dgdemo/pause_test.go
@@ -0,0 +1,79 @@
+package dgdemo_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+
+	"dandeliongap.example/dandeliongap"
+	. "github.com/onsi/gomega"
+)
+
+// pausableLog drops log lines. While a VM is paused, its lines wait: its
+// goroutines stop where they log, and the others at the locks that these hold, as
+// if the process had no processor time.
+type pausableLog struct {
+	mu     sync.Mutex
+	paused []byte
+	resume chan struct{}
+}
+
+// Write implements io.Writer.
+func (l *pausableLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	wait := l.paused != nil && bytes.Contains(line, l.paused)
+	resume := l.resume
+	l.mu.Unlock()
+	if wait {
+		<-resume
+	}
+	return len(line), nil
+}
+
+// pause stops a VM until the returned function is called.
+func (l *pausableLog) pause(name dandeliongap.VMName) (resume func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = []byte(`"VM":"` + string(name) + `"`)
+	l.resume = make(chan struct{})
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.paused = nil
+		close(l.resume)
+	})
+}
+
+// Guards against a VM that goes on where it was after a pause: its lease expired
+// meanwhile and its replicas have other owners. What it still had to send must
+// neither exceed the slots nor run twice, and the VM must notice.
+func TestPausedVMActsOnNothing(t *testing.T) {
+	f := shared(t)
+	node := f.Nodes()[0]
+	tally := f.underLoad(func() {
+		resume := started.log.pause(node.View().Members[node.Member()].VM)
+		defer resume()
+		f.until("the others fenced the paused VM", func() bool {
+			for _, n := range f.Nodes() {
+				if _, member := n.View().Members[node.Member()]; n != node && member {
+					return false
+				}
+			}
+			return true
+		})
+		f.untilCovered()
+		resume()
+		f.until("the VM knows that it was fenced", func() bool {
+			select {
+			case <-node.Lost():
+				return true
+			default:
+				return false
+			}
+		})
+		f.Expect(f.KillVM(f.indexOf(node.Member()))).To(Succeed())
+		f.refill()
+	})
+	f.Expect(tally.Answered).To(BeNumerically(">", 0))
+	f.expectPromisesKept(tally)
+}
--- a/dgdemo/replace_test.go
+++ b/dgdemo/replace_test.go
@@ -11,7 +11,7 @@
 // replicas with two owners, while all VMs are replaced one after the other. The
 // next VM is replaced as soon as the one before it has handed over its replicas.
 func TestReplacementOfAllVMsLosesNothing(t *testing.T) {
-	f := start(t, 6)
+	f := shared(t)
 	tally := f.underLoad(func() {
 		closed := make(chan error, 6)
 		for i := range 6 {
