--- a/dgplacement/plan.go
+++ b/dgplacement/plan.go
@@ -35,37 +35,6 @@
 	Moves          *Moves               // nil: no row moved lately
 }
 
-// Moves notes when rows moved. The zero value is ready to use.
-type Moves struct {
-	rows map[dandeliongap.ReplicaID]move
-}
-
-type move struct {
-	epoch dandeliongap.Epoch
-	at    dandeliongap.Instant
-}
-
-// Observe notes which rows of a newly adopted table moved.
-func (m *Moves) Observe(now dandeliongap.Instant, rows []dandeliongap.Placement) {
-	next := make(map[dandeliongap.ReplicaID]move, len(rows))
-	for _, r := range rows {
-		last, ok := m.rows[r.Replica]
-		if !ok || last.epoch != r.Epoch {
-			last = move{epoch: r.Epoch, at: now}
-		}
-		next[r.Replica] = last
-	}
-	m.rows = next
-}
-
-func (m *Moves) settled(now dandeliongap.Instant, r dandeliongap.ReplicaID) bool {
-	if m == nil {
-		return true
-	}
-	last, ok := m.rows[r]
-	return !ok || now.Sub(last.at) >= SettleTime
-}
-
 // Plan returns the rows of the next table, sorted by replica, and what changes
 // compared with the present one. Without decisions there is nothing to write.
 // After the table object was deleted there are none; it may be written again
@@ -361,30 +330,6 @@
 	return -weight / math.Log(u)
 }
 
-// splitLeaves gives a second owner to leaves of which one member owns all
-// replicas (L3).
-func (p *planner) splitLeaves() {
-	for l, rows := range p.leafs {
-		if len(rows) < 2 || len(p.all) < 2 {
-			continue
-		}
-		first := p.rows[rows[0]].owner
-		if first == nil || p.ofLeaf(l, first) < len(rows) {
-			continue
-		}
-		i := rows[len(rows)-1]
-		r := &p.rows[i]
-		if r.fixed && r.cause == CauseNone {
-			continue
-		}
-		h := p.choose(r, r.pool)
-		if h == nil || h == first {
-			h = p.choose(r, p.all)
-		}
-		p.move(i, h, CauseSameOwner)
-	}
-}
-
 // move gives row i to h.
 func (p *planner) move(i int, h *host, why Cause) {
 	r := &p.rows[i]
@@ -400,90 +345,6 @@
 	p.own(r, i, h)
 }
 
-// balance moves rows from overloaded hosts and to underused ones (L4).
-func (p *planner) balance() {
-	for _, h := range p.all {
-		for h.over() {
-			if !p.give(h) {
-				break
-			}
-		}
-	}
-	for _, h := range p.all {
-		if !h.under() {
-			continue
-		}
-		for float64(h.load+1) <= h.share {
-			if !p.take(h) {
-				break
-			}
-		}
-	}
-}
-
-// give moves one row of h to the host that lacks most.
-func (p *planner) give(h *host) bool {
-	for _, i := range h.rows {
-		r := &p.rows[i]
-		if !p.movable(r) {
-			continue
-		}
-		to := p.choose(r, r.pool)
-		if to != nil && to != h && float64(to.load+1) <= math.Ceil(to.share) && p.ofLeaf(r.leaf, to) < p.ofLeaf(r.leaf, h) {
-			p.move(i, to, CauseOverloaded)
-			return true
-		}
-	}
-	return false
-}
-
-// take moves to h the row that suits it best from the host with the highest load
-// compared with its share.
-func (p *planner) take(h *host) bool {
-	var from *host
-	best := -1
-	for _, d := range p.all {
-		if d == h || float64(d.load-1) < math.Floor(d.share) {
-			continue
-		}
-		if from != nil && float64(d.load)-d.share <= float64(from.load)-from.share {
-			continue
-		}
-		if i := p.bestFor(h, d); i >= 0 {
-			from, best = d, i
-		}
-	}
-	if best < 0 {
-		return false
-	}
-	p.move(best, h, CauseUnderused)
-	return true
-}
-
-// bestFor returns the row of d with the highest score for h, or -1.
-func (p *planner) bestFor(h, d *host) int {
-	best := -1
-	var bestScore float64
-	for _, i := range d.rows {
-		r := &p.rows[i]
-		if !p.movable(r) || !p.inPool(r, h) || p.ofLeaf(r.leaf, h) >= p.ofLeaf(r.leaf, d) {
-			continue
-		}
-		if s := score(r.hash, h.hash, 1); best < 0 || s > bestScore {
-			best, bestScore = i, s
-		}
-	}
-	return best
-}
-
-// inPool tells whether h is a candidate for a row (L2).
-func (p *planner) inPool(r *row, h *host) bool {
-	return h.zone == r.zone || len(p.zones[r.zone]) == 0
-}
-
-// movable tells whether load may move a row.
-func (p *planner) movable(r *row) bool { return r.cause != CauseNone || !r.fixed }
-
 var causeRules = [causeCount]Rule{
 	CauseNew: L2, CauseGone: L4, CauseLeaving: L4, CauseZone: L2, CauseSameOwner: L3, CauseOverloaded: L4,
 	CauseUnderused: L4, CauseRemoved: L5,
--- /dev/null
+++ b/dgstandin/platform_api.go
@@ -0,0 +1,288 @@
+package dgstandin
+
+import (
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/gofiber/fiber/v3"
+)
+
+// callOf names the call of a request.
+func callOf(c fiber.Ctx) PlatformCall {
+	call := PlatformCall{Method: strings.Clone(c.Method())}
+	path := strings.TrimPrefix(string(c.Request().URI().PathOriginal()), "/")
+	rest, isObject := strings.CutPrefix(path, "objects/")
+	if !isObject {
+		call.Kind = path
+		return call
+	}
+	kind, _, named := strings.Cut(rest, "/")
+	call.Kind = kind
+	if named {
+		return call
+	}
+	call.Method = "LIST"
+	if c.Query("wait") != "" {
+		call.Method = "WATCH"
+	}
+	return call
+}
+
+// guard counts each call and applies the faults around it.
+func (p *Platform) guard(c fiber.Ctx) error {
+	p.mu.Lock()
+	p.calls[callOf(c)]++
+	f := p.faults
+	fail := p.rng.Float64() < f.FailShare
+	p.mu.Unlock()
+	if f.Delay > 0 && !p.pause(f.Delay) {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	if f.Down != Up {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	if fail {
+		return c.SendStatus(fiber.StatusInternalServerError)
+	}
+	if err := c.Next(); err != nil {
+		return err
+	}
+	if p.loses() {
+		return c.RequestCtx().Conn().Close()
+	}
+	return nil
+}
+
+// pause waits for d; false if the server stopped meanwhile.
+func (p *Platform) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-p.srv.halt():
+		return false
+	}
+}
+
+func (p *Platform) loses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseNext > 0 {
+		p.faults.LoseNext--
+		return true
+	}
+	return p.rng.Float64() < p.faults.LoseShare
+}
+
+// objectOf returns the kind and name that a request's path names. The name is
+// taken from the path as sent, because the normalized path would change names
+// with escaped slashes or dots.
+func objectOf(c fiber.Ctx) (kind, name string, err error) {
+	path := strings.TrimPrefix(string(c.Request().URI().PathOriginal()), "/objects/")
+	kind, name, _ = strings.Cut(path, "/")
+	name, err = url.PathUnescape(name)
+	return kind, name, err
+}
+
+func (p *Platform) get(c fiber.Ctx) error {
+	kind, name, err := objectOf(c)
+	if err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	p.mu.Lock()
+	r := p.at(kind, name, p.readTime())
+	p.mu.Unlock()
+	if r.version == 0 || r.deleted {
+		return c.SendStatus(fiber.StatusNotFound)
+	}
+	c.Set(fiber.HeaderETag, etag(r.version))
+	return c.Send(r.body)
+}
+
+func (p *Platform) put(c fiber.Ctx) error {
+	kind, name, err := objectOf(c)
+	if err != nil || name == "" {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	if len(c.Body()) > MaxValue {
+		return c.SendStatus(fiber.StatusRequestEntityTooLarge)
+	}
+	want, ok := condition(c)
+	if !ok {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current(kind, name) != want {
+		return c.SendStatus(fiber.StatusPreconditionFailed)
+	}
+	c.Set(fiber.HeaderETag, etag(p.write(kind, name, slices.Clone(c.Body()), false)))
+	return c.SendStatus(fiber.StatusOK)
+}
+
+func (p *Platform) delete(c fiber.Ctx) error {
+	kind, name, err := objectOf(c)
+	want, ok := condition(c)
+	if err != nil || !ok || want == 0 {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current(kind, name) != want {
+		return c.SendStatus(fiber.StatusPreconditionFailed)
+	}
+	p.write(kind, name, nil, true)
+	return c.SendStatus(fiber.StatusOK)
+}
+
+// current returns the version of an object, 0 if it does not exist. Callers
+// hold mu.
+func (p *Platform) current(kind, name string) dandeliongap.Version {
+	r := p.at(kind, name, time.Time{})
+	if r.deleted {
+		return 0
+	}
+	return r.version
+}
+
+// condition returns the version that a write asks for, 0 for "does not exist".
+func condition(c fiber.Ctx) (dandeliongap.Version, bool) {
+	if c.Get(fiber.HeaderIfNoneMatch) == "*" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(strings.Trim(c.Get(fiber.HeaderIfMatch), `"`), 10, 64)
+	return dandeliongap.Version(n), err == nil && n > 0
+}
+
+func etag(v dandeliongap.Version) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
+
+// listedObject is an object as list and watch answers carry it. Body is base64
+// by the rules of encoding/json.
+type listedObject struct {
+	Name    string
+	Version dandeliongap.Version
+	Deleted bool
+	Body    []byte
+}
+
+func (p *Platform) list(c fiber.Ctx) error {
+	since, err := queryUint(c, "since")
+	if err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	wait, err := queryUint(c, "wait")
+	if err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	objects, version := p.await(c.Params("kind"), dandeliongap.Version(since), time.Duration(wait)*time.Second)
+	p.mu.Lock()
+	down := p.faults.Down != Up
+	p.mu.Unlock()
+	if down {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	return c.JSON(struct {
+		Version dandeliongap.Version
+		Objects []listedObject
+	}{version, objects})
+}
+
+func queryUint(c fiber.Ctx, name string) (uint64, error) {
+	s := c.Query(name)
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(s, 10, 32)
+}
+
+// await returns the changes of a kind after since. It waits for the first one,
+// at most wait; the platform going down or stopping ends the wait.
+func (p *Platform) await(kind string, since dandeliongap.Version, wait time.Duration) ([]listedObject, dandeliongap.Version) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		objects, version := p.changesSince(kind, since)
+		if len(objects) > 0 || wait == 0 || p.faults.Down != Up {
+			return objects, version
+		}
+		changed := p.changed
+		p.watches++
+		p.mu.Unlock()
+		expired := false
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-p.srv.halt():
+			expired = true
+		}
+		p.mu.Lock()
+		p.watches--
+		if expired {
+			return p.changesSince(kind, since)
+		}
+	}
+}
+
+// changesSince returns the objects of a kind that changed after since, by
+// version, and the version up to which the answer is complete. A list from 0
+// leaves out deleted objects. Callers hold mu.
+func (p *Platform) changesSince(kind string, since dandeliongap.Version) ([]listedObject, dandeliongap.Version) {
+	t := p.readTime()
+	version := since
+	if t.IsZero() {
+		version = p.version
+	}
+	objects := []listedObject{}
+	k := p.kinds[kind]
+	if k == nil {
+		return objects, version
+	}
+	for name, h := range k.objects {
+		r := lastAt(h, t)
+		version = max(version, r.version)
+		if r.version <= since || r.deleted && since == 0 {
+			continue
+		}
+		objects = append(objects, listedObject{Name: name, Version: r.version, Deleted: r.deleted, Body: r.body})
+	}
+	slices.SortFunc(objects, func(a, b listedObject) int { return int(a.Version) - int(b.Version) })
+	return objects, version
+}
+
+func (p *Platform) listVMs(c fiber.Ctx) error {
+	type entry struct {
+		Name  dandeliongap.VMName
+		Zone  dandeliongap.ZoneName
+		State string
+	}
+	entries := []entry{}
+	for _, vm := range p.shownVMs() {
+		state := "live"
+		if vm.Leaving {
+			state = "leaving"
+		}
+		entries = append(entries, entry{vm.Name, vm.Zone, state})
+	}
+	return c.JSON(entries)
+}
+
+// shownVMs returns the VM list as the lag lets it show.
+func (p *Platform) shownVMs() []dandeliongap.ListedVM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now().Add(-p.faults.Stale)
+	for i := len(p.vms) - 1; i >= 0; i-- {
+		if i == 0 || !p.vms[i].shows.After(now) {
+			return p.vms[i].vms
+		}
+	}
+	return nil
+}
