Count lost VMs and zones, and work out the load at the target scale

A crashed VM or zone is measured until the last VM has adopted the last object; a fleet that has not settled by then is shown as such.

--- a/dgcapacity/clock.go
+++ b/dgcapacity/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -23,31 +24,48 @@
 	bytes       float64 // allocated
 }
 
+// rounds is the number of times that a piece of work is timed; the median counts,
+// because the machine is shared.
+const rounds = 5
+
 // timed runs f until it has taken at least the given processor time, and returns
-// the mean of all runs but the first.
+// the cost of one run.
 func timed(least time.Duration, f func()) cost {
 	f()
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	start := processorTime()
 	n := 0
-	var spent time.Duration
-	for batch := 1; spent < least; batch *= 2 {
-		for range batch {
-			f()
-		}
-		n += batch
-		spent = processorTime() - start
+	var means []time.Duration
+	for range rounds {
+		mean, runs := timedRound(least/rounds, f)
+		means = append(means, mean)
+		n += runs
 	}
 	runtime.ReadMemStats(&after)
+	slices.Sort(means)
 	return cost{
-		time:        spent / time.Duration(n),
+		time:        means[rounds/2],
 		allocations: float64(after.Mallocs-before.Mallocs) / float64(n),
 		bytes:       float64(after.TotalAlloc-before.TotalAlloc) / float64(n),
 	}
 }
 
+// timedRound returns the mean time of the runs of f and their number.
+func timedRound(least time.Duration, f func()) (time.Duration, int) {
+	start := processorTime()
+	n := 0
+	for batch := 1; ; batch *= 2 {
+		for range batch {
+			f()
+		}
+		n += batch
+		if spent := processorTime() - start; spent >= least {
+			return spent / time.Duration(n), n
+		}
+	}
+}
+
 // heapOf returns the growth of the heap in bytes that build causes, and what it
 // built, which the caller keeps until then.
 func heapOf[T any](build func() T) (float64, T) {
--- a/dgcapacity/cluster.go
+++ b/dgcapacity/cluster.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgmember"
 	"dandeliongap.example/dandeliongap/dgplacement"
 	"dandeliongap.example/dandeliongap/dgrelay"
 )
@@ -88,6 +89,8 @@
 	started int     // VMs ever started
 	adopted map[dandeliongap.Version]int
 	stopped []string // VMs that were fenced or dropped
+	// lastAdopted is when a VM last adopted an object.
+	lastAdopted dandeliongap.Instant
 }
 
 // newCluster starts n VMs with an accepted deployment, a list of members and a
@@ -110,7 +113,9 @@
 	objs, _ := c.store.list()
 	c.store.calls = calls{}
 	for _, nd := range c.nodes {
-		c.after(time.Duration(c.rng.Int64N(int64(dgrelay.ExchangeEvery))), func() { nd.start(objs) })
+		// Renewals keep the phase of the start, so that VMs that start together
+		// renew together. These start as after a long time of replacements.
+		c.after(time.Duration(c.rng.Int64N(int64(dgmember.Interval(n)))), func() { nd.start(objs) })
 	}
 	return c, nil
 }
--- a/dgcapacity/control.go
+++ b/dgcapacity/control.go
@@ -19,7 +19,7 @@
 	// warmUp lets all VMs hear of each other and list the platform's state.
 	warmUp = 30 * time.Second
 	// settle is the time after a change whose cost is counted with it.
-	settle = 15 * time.Second
+	settle = 10 * time.Second
 	// failingShare is the share of exchanges that fail in the runs with loss.
 	failingShare = 1.0 / 3
 	// replacements is the number of replaced VMs that are averaged.
@@ -32,7 +32,7 @@
 	compressDeployment, expandDeployment cost
 	compressTable, expandTable           cost
 	compressList, expandList             cost
-	publish, plan                        cost
+	publish, plan, planMoves             cost
 	tableBytes, tableGzip                int
 	listBytes, listGzip                  int
 	deploymentBytes, deploymentGzip      int
@@ -79,6 +79,10 @@
 	u.publish = timed(least, func() { publish(n) })
 	in := n.planInput()
 	u.plan = timed(least, func() { dgplacement.Plan(c.now, in) })
+	in.Members = slices.Delete(slices.Clone(in.Members), 0, 1)
+	in.MembersVersion++
+	in.Moves = nil
+	u.planMoves = timed(least, func() { dgplacement.Plan(c.now, in) })
 	return u, nil
 }
 
@@ -154,7 +158,7 @@
 	run.reportUnits()
 	run.measureMemory()
 	run.measureIdle()
-	for _, step := range []func() error{run.measureChanges, run.measureReplacements, run.measureLoss} {
+	for _, step := range []func() error{run.measureChanges, run.measureReplacements, run.measureLoss, run.measureOutages} {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
@@ -193,6 +197,7 @@
 	m.add("decompress members", "us", microseconds(u.expandList.time))
 	m.addReplicas("publish one view", "us", microseconds(u.publish.time))
 	m.addReplicas("one placement plan without moves", "us", microseconds(u.plan.time))
+	m.addReplicas("one placement plan after a member is gone", "us", microseconds(u.planMoves.time))
 	m.addReplicas("one placement plan without moves, allocations", "count", u.plan.allocations)
 }
 
@@ -296,10 +301,19 @@
 	return e
 }
 
+// changes is the number of changes that are measured; more where they are cheap,
+// because the longest time counts.
+func (m *controlRun) changes() int {
+	if m.n <= 50 {
+		return 10 * m.o.Changes
+	}
+	return m.o.Changes
+}
+
 func (m *controlRun) measureChanges() error {
 	before := m.c.snapshot()
 	var took []time.Duration
-	for i := range m.o.Changes {
+	for i := range m.changes() {
 		d, ok, err := m.c.change(strconv.Itoa(i + 1))
 		if err != nil {
 			return err
@@ -310,7 +324,7 @@
 		took = append(took, d)
 		m.c.run(settle, nil)
 	}
-	e := m.excess(before, m.o.Changes)
+	e := m.excess(before, m.changes())
 	m.inForce("in force on all after", took, BudgetInForce)
 	m.reportExcess("a change", e, TargetChanges)
 	return nil
@@ -331,10 +345,14 @@
 	m.add(what+": bytes sent and received", "B per VM", e.bytes)
 	m.add(what+": messages sent", "count per VM", e.messages)
 	m.add(what+": processor time without plans", "ms per VM", e.processor.Seconds()*1e3)
-	m.add(what+": platform calls beyond idle", "count in all", float64(e.calls.total()))
+	m.add(what+": platform calls other than lease renewals", "count in all", float64(e.calls.total()-e.calls[callWriteLease]))
 	m.add(what+": state writes", "count in all", float64(e.calls[callWriteState]))
+	each := n * float64(m.count(what))
+	m.add(what+": of sent: deployment texts", "B per VM", float64(t.deployment)/each)
+	m.add(what+": of sent: members", "B per VM", float64(t.members)/each)
+	m.add(what+": of sent: placement tables", "B per VM", float64(t.placement)/each)
 	m.add(what+": repeated transfers of an object", "share", float64(t.repeatedTransfer)/float64(max(1, t.transferred)))
-	m.add(what+": objects received", "count per VM", float64(t.transferred)/n/float64(m.count(what)))
+	m.add(what+": objects received", "count per VM", float64(t.transferred)/each)
 	rate := e.bytes * perDay / secondsPerDay
 	core := percent(e.processor, secondsPerDay) * perDay
 	m.add(what+": bytes sent and received at the target's rate", "B/s per VM", rate)
@@ -345,7 +363,7 @@
 
 func (m *controlRun) count(what string) int {
 	if what == "a change" {
-		return m.o.Changes
+		return m.changes()
 	}
 	return replacements
 }
@@ -373,7 +391,7 @@
 	m.c.run(settle, nil)
 	before := m.c.snapshot()
 	var took []time.Duration
-	for i := range m.o.Changes {
+	for i := range m.changes() {
 		d, ok, err := m.c.change("loss-" + strconv.Itoa(i+1))
 		if err != nil {
 			return err
@@ -387,7 +405,7 @@
 	d := m.c.snapshot().since(before)
 	m.inForce("in force on all after, a third of exchanges failing", took, BudgetInForceLoss)
 	m.add("a third of exchanges failing: platform calls", "1/s in all", float64(d.calls.total())/d.seconds())
-	m.add("VMs fenced or dropped during all runs", "count", float64(len(m.c.stopped)))
+	m.add("VMs fenced or dropped without a crash", "count", float64(len(m.c.stopped)))
 	return nil
 }
 
--- a/dgcapacity/exchange.go
+++ b/dgcapacity/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgmember"
@@ -106,7 +107,7 @@
 	}
 	c.after(peerTime, func() {
 		if to.down || to.member == nil {
-			c.after(peerTime, fail)
+			c.after(to.refusal(), fail)
 			return
 		}
 		var reply []byte
@@ -120,6 +121,14 @@
 	})
 }
 
+// refusal is the time until a call to a VM that does not answer has failed.
+func (n *node) refusal() time.Duration {
+	if n.crashed {
+		return dialTimeout
+	}
+	return peerTime
+}
+
 // serve answers the exchange of another VM.
 func (n *node) serve(m *dgwire.ExchangeMessage) []byte {
 	reply := n.message(m)
--- a/dgcapacity/fanout.go
+++ b/dgcapacity/fanout.go
@@ -112,6 +112,9 @@
 		add("fan-out decisions of one query, allocations", "count", c.allocations)
 		add("fan-out decisions of one query, allocated", "KB", c.bytes/1e3)
 		add("fan-out decisions per sub-request", "us", microseconds(c.time)/float64(shards)).Budget = BudgetSubRequest
+		accepted := acceptedBodies(shards)
+		c = timed(o.Timing, func() { dgfanout.Merge(accepted) })
+		add("merge of one query", "us", microseconds(c.time))
 		open := make([]*dgfanout.Query, openQueries)
 		size, _ := heapOf(func() []*dgfanout.Query {
 			for i := range open {
@@ -137,5 +140,33 @@
 		runtime.KeepAlive(planners)
 		runtime.KeepAlive(f)
 	}
+	return measureBodies(r, o)
+}
+
+// acceptedBodies are the merged answers of one query.
+func acceptedBodies(shards int) []dgfanout.Accepted {
+	accepted := make([]dgfanout.Accepted, shards)
+	for i := range accepted {
+		part := dandeliongap.PartID(i)
+		body := dgfanout.Body{Parts: []dgfanout.Part{{Part: part}}}
+		for k := range hitCount {
+			body.Parts[0].Hits = append(body.Parts[0].Hits, dgfanout.Hit{ID: fmt.Sprintf("order-%04d-%d", i, k), Score: float64((i*7919 + k) % 1000)})
+		}
+		accepted[i] = dgfanout.Accepted{Parts: []dandeliongap.PartID{part}, Body: body}
+	}
+	return accepted
+}
+
+// measureBodies times the parsing of the body of one sub-answer.
+func measureBodies(r *Report, o Options) error {
+	for _, hits := range []int{0, hitCount, 4 * hitCount} {
+		body := answerBody(hits)
+		if _, err := dgfanout.ParseBody(body); err != nil {
+			return err
+		}
+		c := timed(o.Timing, func() { _, _ = dgfanout.ParseBody(body) })
+		r.add("parse the body of one sub-answer", "us", drivenByHits, hits, microseconds(c.time))
+		r.add("body of one sub-answer", "bytes", drivenByHits, hits, float64(len(body)))
+	}
 	return nil
 }
--- a/dgcapacity/gate.go
+++ b/dgcapacity/gate.go
@@ -76,20 +76,22 @@
 	l.offer()
 }
 
+// gateQuantity is the row of the gate's time.
+const gateQuantity = "gate decisions per sub-request"
+
 func measureGate(r *Report, o Options) error {
-	const quantity = "gate decisions per sub-request"
 	for _, waiting := range queueLengths {
 		l, ok := newGateLoad(o.NewGate(), waiting)
 		if !ok {
-			r.add(quantity, "us", drivenByQueue, waiting, 0).Note = "not measured: the gate dispatches nothing, its implementation is not in this tree"
+			r.add(gateQuantity, "us", drivenByQueue, waiting, 0).Note = "not measured: the gate dispatches nothing, its implementation is not in this tree"
 			return nil
 		}
 		c := timed(o.Timing, l.step)
-		row := r.add(quantity, "us", drivenByQueue, waiting, microseconds(c.time))
+		row := r.add(gateQuantity, "us", drivenByQueue, waiting, microseconds(c.time))
 		if l.refused > 0 {
 			row.Note = "some requests were refused, so that the queue was shorter"
 		}
-		r.add(quantity+", allocations", "count", drivenByQueue, waiting, c.allocations)
+		r.add(gateQuantity+", allocations", "count", drivenByQueue, waiting, c.allocations)
 	}
 	return nil
 }
--- a/dgcapacity/lease.go
+++ b/dgcapacity/lease.go
@@ -111,12 +111,15 @@
 	}
 }
 
-// askRelease sends a Release call. A call to a process that has ended fails at
-// once.
+// askRelease sends a Release call.
 func (n *node) askRelease(a dgplacement.Action) {
 	former := n.c.byID[a.Member]
 	if former == nil || former.down {
-		n.holdingActions = n.holdings.ReleaseFailed(n.c.now, a.Member, a.Replica, a.Epoch, n.holdingActions)
+		n.c.after(dialTimeout, func() {
+			n.post(func() {
+				n.holdingActions = n.holdings.ReleaseFailed(n.c.now, a.Member, a.Replica, a.Epoch, n.holdingActions)
+			})
+		})
 		return
 	}
 	size := proto.Size(&dgwire.ReleaseRequest{
--- a/dgcapacity/node.go
+++ b/dgcapacity/node.go
@@ -50,6 +50,7 @@
 	wake      dandeliongap.Instant // of the newest timer
 	leaving   bool
 	down      bool
+	crashed   bool // ended without closing its connections
 }
 
 // start begins the decisions. objs are objects that the VM holds already.
@@ -194,6 +195,7 @@
 	obj, _ := n.set.Get(name)
 	n.apply(obj)
 	n.c.adopted[obj.Version]++
+	n.c.lastAdopted = n.c.now
 	n.relayActions = n.relay.Adopted(n.rng, n.relayActions)
 	n.planDue = n.c.now
 	n.dirty = true
--- a/dgcapacity/options.go
+++ b/dgcapacity/options.go
@@ -11,6 +11,8 @@
 	TargetMembers  = 610
 	TargetReplicas = 2500
 	TargetShards   = 650
+	// TargetQueries is the number of queries a second of the whole fleet.
+	TargetQueries = 120000
 	// TargetChanges is the number of configuration changes a day.
 	TargetChanges = 1800
 	// TargetMemberChanges is the number of VMs that are replaced, restarted or
@@ -33,8 +35,8 @@
 // HTTP headers of one twirp call, in bytes, as net/http writes them. A test
 // compares them with a call of the generated client and server.
 const (
-	RequestHeaderBytes = 240
-	ReplyHeaderBytes   = 120
+	RequestHeaderBytes = 244
+	ReplyHeaderBytes   = 113
 )
 
 const secondsPerDay = 86400
@@ -48,10 +50,12 @@
 	Shards []int
 	// Batch are the numbers of items in one message. Default: 1 to 512.
 	Batch []int
-	// Idle is the virtual time over which idle VMs are measured. Default 60 s.
+	// Idle is the virtual time over which idle VMs are measured. Default 30 s,
+	// which is the longest time between two calls of one kind.
 	Idle time.Duration
 	// Changes is the number of configuration changes of which the time until
-	// they are in force is measured, for each size and failure rate. Default 5.
+	// they are in force is measured, for each size and failure rate. Up to 50 members it is ten times
+	// as many. Default 3.
 	Changes int
 	// Timing is the least processor time of one timed piece of work. Default
 	// 100 ms.
@@ -66,10 +70,10 @@
 
 func (o Options) withDefaults() Options {
 	members, shards, batch := []int{6, 50, 150, 300, 610}, []int{20, 50, 100, 200, 400, 650}, []int{1, 2, 8, 64, 512}
-	idle, changes, timing := 60*time.Second, 5, 100*time.Millisecond
+	idle, changes, timing := 30*time.Second, 3, 100*time.Millisecond
 	if o.Quick {
 		members, shards, batch = []int{6, 12, 24}, []int{20, 100}, []int{1, 8, 64}
-		idle, changes, timing = 10*time.Second, 2, 5*time.Millisecond
+		idle, changes, timing = 30*time.Second, 1, 5*time.Millisecond
 	}
 	if len(o.Members) == 0 {
 		o.Members = members
--- a/dgcapacity/report.go
+++ b/dgcapacity/report.go
@@ -36,6 +36,16 @@
 	Seed      uint64
 	Seconds   float64 // of the whole run
 	Rows      []Row
+	Derived   []Derived
+}
+
+// Derived is a value that follows from rows at the target scale.
+type Derived struct {
+	Quantity string
+	Unit     string
+	Value    float64
+	From     string  // how it is worked out
+	Budget   float64 `json:",omitempty"`
 }
 
 // Row returns the row of a quantity, or nil.
@@ -66,6 +76,7 @@
 	drivenByShards   = "shards"
 	drivenByItems    = "items"
 	drivenByQueue    = "queued"
+	drivenByHits     = "hits"
 )
 
 func targetOf(driver string) int {
@@ -125,6 +136,9 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	if err := r.printDerived(w); err != nil {
+		return err
+	}
 	for i := range r.Rows {
 		if row := &r.Rows[i]; row.Note != "" {
 			if _, err := fmt.Fprintf(w, "note: %s: %s\n", row.Quantity, row.Note); err != nil {
@@ -136,6 +150,20 @@
 	return err
 }
 
+func (r *Report) printDerived(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\nat the target scale, per VM\tunit\tvalue\tbudget\tfrom\n")
+	for _, d := range r.Derived {
+		limit := "-"
+		if d.Budget != 0 {
+			limit = number(d.Budget)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", d.Quantity, d.Unit, number(d.Value), limit, d.From)
+	}
+	fmt.Fprintln(t)
+	return t.Flush()
+}
+
 func points(row *Row) string {
 	s := row.Driver
 	for _, p := range row.Points {
--- a/dgcapacity/run.go
+++ b/dgcapacity/run.go
@@ -30,6 +30,7 @@
 		}
 	}
 	r.fit()
+	r.derive()
 	r.Seconds = time.Since(began).Seconds()
 	return r, r.print(out)
 }
--- a/dgcapacity/store.go
+++ b/dgcapacity/store.go
@@ -160,4 +160,7 @@
 	peerTime = 750 * time.Microsecond
 	// callLimit is the time after which a lost call is given up, as in dgnode.
 	callLimit = 2 * time.Second
+	// dialTimeout is the time after which a connection to a VM that crashed is
+	// given up, as in dgpeer.
+	dialTimeout = 500 * time.Millisecond
 )
--- a/dgcapacity/wire.go
+++ b/dgcapacity/wire.go
@@ -18,10 +18,10 @@
 )
 
 // answerBody is the body of one sub-answer.
-func answerBody() []byte {
+func answerBody(hits int) []byte {
 	var b bytes.Buffer
 	b.WriteString(`{"Parts":[{"Part":17,"Hits":[`)
-	for i := range hitCount {
+	for i := range hits {
 		if i > 0 {
 			b.WriteByte(',')
 		}
@@ -48,7 +48,7 @@
 	m := &dgwire.DeliverRequest{FromMember: "entry-001-0123456789abcdef"}
 	for i := range n {
 		id := dandeliongap.SubID{Entry: 1 << 60, Query: 1 << 30, Shard: uint32(i)}
-		answer := dandeliongap.BackendAnswer{Status: dandeliongap.SubAnswered, Index: 1 << 20, Body: answerBody()}
+		answer := dandeliongap.BackendAnswer{Status: dandeliongap.SubAnswered, Index: 1 << 20, Body: answerBody(hitCount)}
 		m.Answers = append(m.Answers, dgwire.FromAnswer(id, dandeliongap.ReplicaID(fmt.Sprintf("shard-%03d/1", i)), answer, dandeliongap.Mark{Limit: 3, Busy: 2}))
 	}
 	return m
