--- a/dgcapacity/options.go
+++ b/dgcapacity/options.go
@@ -44,7 +44,7 @@
 // Options chooses what is measured. The zero value is the full run.
 type Options struct {
 	// Members are the sizes of the fleet; the number of replicas follows from
-	// Replicas. Default: 6, 50, 150, 300, 610.
+	// Replicas. Default: 6, 50, 100, 200, 610.
 	Members []int
 	// Shards are the sizes of the fan-out. Default: 20 to 650.
 	Shards []int
@@ -69,7 +69,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	members, shards, batch := []int{6, 50, 150, 300, 610}, []int{20, 50, 100, 200, 400, 650}, []int{1, 2, 8, 64, 512}
+	members, shards, batch := []int{6, 50, 100, 200, 610}, []int{20, 50, 100, 200, 400, 650}, []int{1, 2, 8, 64, 512}
 	idle, changes, timing := 30*time.Second, 3, 100*time.Millisecond
 	if o.Quick {
 		members, shards, batch = []int{6, 12, 24}, []int{20, 100}, []int{1, 8, 64}
