Leave out the gate's figures where the gate does nothing

The gate of this tree is a stub that dispatches nothing; the table showed 0 us for it. A test with a gate of its own shows that a gate that works is measured.

--- a/dgcapacity/gate.go
+++ b/dgcapacity/gate.go
@@ -83,7 +83,10 @@
 	for _, waiting := range queueLengths {
 		l, ok := newGateLoad(o.NewGate(), waiting)
 		if !ok {
-			r.add(gateQuantity, "us", drivenByQueue, waiting, 0).Note = "not measured: the gate dispatches nothing, its implementation is not in this tree"
+			r.Rows = append(r.Rows, Row{
+				Quantity: gateQuantity, Unit: "us", Driver: drivenByQueue,
+				Note: "not measured: the gate dispatches nothing, its implementation is not in this tree",
+			})
 			return nil
 		}
 		c := timed(o.Timing, l.step)
--- a/dgcapacity/report.go
+++ b/dgcapacity/report.go
@@ -165,6 +165,9 @@
 }
 
 func points(row *Row) string {
+	if len(row.Points) == 0 {
+		return "-"
+	}
 	s := row.Driver
 	for _, p := range row.Points {
 		s += " " + strconv.Itoa(p.Size) + "=" + number(p.Value)
