Fence in fleets of 13 to 100 VMs; send less control traffic

Cause, found by dgcapacity: with 24 to 90 VMs the ages in contact vectors reach 5 to 7 s while W was 3 s, so that no VM heard from the same majority throughout 2 W and a crashed VM stayed listed (70 s and more). W is 8 s above 12 VMs. Contact vectors in exchange requests had no effect (rule K1), 2,472 B/s per VM at 610; several VMs pulled one object at the same time; every idle VM computed a plan four times a second; after a zone loss several VMs deleted each lease; renewals kept the rhythm of a common start. Ruled out: one exchange a second (trial: in force under loss 4.9 s at 610).

--- a/dgmember/doc.go
+++ b/dgmember/doc.go
@@ -6,7 +6,7 @@
 // several incarnations in the list counts once. This assumes that no two
 // processes of one VM name run at the same time.
 //
-// W is the contact window: 3 s up to 100 VMs, 8 s above. The margin is 1 s.
+// W is the contact window: 3 s up to 12 VMs, 8 s above. The margin is 1 s.
 //
 //   - M1: The lease is valid until (time before the renewal was sent) + TTL.
 //   - M2: Rights that are valid go on while the VM does not reach the platform
--- a/dgmember/fence.go
+++ b/dgmember/fence.go
@@ -62,7 +62,10 @@
 
 // mayDelete is F1 without the platform's part.
 func (s *State) mayDelete(now dandeliongap.Instant, i int, p *suspect) bool {
-	if !s.up || now.Sub(p.since) < p.ttl+s.roster.window+Margin {
+	// The step per rank lets one VM delete after a zone is lost, when all suspect
+	// the same members.
+	turn := time.Duration(s.lowerRanks(now)) * RankStep
+	if !s.up || now.Sub(p.since) < p.ttl+s.roster.window+Margin+turn {
 		return false
 	}
 	return s.reachMajority(now, max(s.changed, s.listedAt), i)
--- a/dgmember/lease.go
+++ b/dgmember/lease.go
@@ -88,13 +88,19 @@
 	return dst
 }
 
+// spread shortens an interval by up to a tenth, so that VMs that started together
+// do not renew together for ever.
+func (s *State) spread(d time.Duration) time.Duration {
+	return d - time.Duration(s.rnd.Int64N(int64(d/renewSpread)))
+}
+
 // landed takes over that the attempt is the content of the lease object.
 func (s *State) landed(now dandeliongap.Instant, attempt uint64, version dandeliongap.Version) {
 	s.inFlight = false
 	s.failed = 0
 	s.created = true
 	s.renewal.version = max(s.renewal.version, version)
-	s.renewal.next = max(now, s.renewal.last.Add(Interval(s.vms)))
+	s.renewal.next = max(now, s.renewal.last.Add(s.spread(Interval(s.vms))))
 	a := s.sent[attempt%attemptsKept]
 	if attempt != s.attempt {
 		s.renewal.next = now // an earlier one, read back
--- a/dgmember/limits.go
+++ b/dgmember/limits.go
@@ -15,6 +15,7 @@
 	// RankStep is the time that each next rank waits longer (L1).
 	RankStep = time.Second
 
+	renewSpread  = 10 // share of the renewal interval that is random, 1 in 10
 	tickEvery    = 250 * time.Millisecond
 	slowCall     = 500 * time.Millisecond // a call without answer counts as failed
 	firstRetry   = 250 * time.Millisecond
@@ -22,7 +23,6 @@
 	joinEvery    = time.Second
 	joinAttempts = 3
 	smallFleet   = 12    // VMs that hear of each other within 3 s
-	largeFleet   = 100   // VMs up to which W is short
 	unlistedRank = 3     // longest wait of a VM that is not listed, in steps of RankStep
 	maxBefore    = 8     // earlier lists that one list may name
 	maxDropped   = 10000 // ids of dropped members that are remembered
@@ -32,20 +32,22 @@
 	platformBit = 0x80
 )
 
-// Window returns the contact window W for n VMs.
+// Window returns the contact window W for n VMs. With 24 to 90 VMs the ages in
+// contact vectors reach 5 to 7 s, so that with 3 s no VM would ever have heard
+// from the same majority throughout and nobody could be fenced.
 func Window(n int) time.Duration {
-	if n <= largeFleet {
+	if n <= smallFleet {
 		return 3 * time.Second
 	}
 	return 8 * time.Second
 }
 
-// Interval returns the time between two lease renewals for n VMs. Above 100 VMs it
+// Interval returns the time between two lease renewals for n VMs. Above 12 VMs it
 // is at least 4 s: with a TTL of 6 s many leases would end before the news of an
 // outage have reached a majority, and M2 could not begin.
 func Interval(n int) time.Duration {
 	least := 2 * time.Second
-	if n > largeFleet {
+	if n > smallFleet {
 		least = 4 * time.Second
 	}
 	return max(least, time.Duration(n)*time.Second/100)
@@ -57,12 +59,8 @@
 // SuspectAfter returns the time without contact after which a member is
 // suspected. News of a member take longer to arrive in a larger fleet.
 func SuspectAfter(n int) time.Duration {
-	switch {
-	case n <= smallFleet:
+	if n <= smallFleet {
 		return 3 * time.Second
-	case n <= largeFleet:
-		return 6 * time.Second
-	default:
-		return 8 * time.Second
 	}
+	return 8 * time.Second
 }
--- a/dgnode/adopt.go
+++ b/dgnode/adopt.go
@@ -26,7 +26,7 @@
 		c.log.Error("relayed object not readable", "Object", name, "Version", obj.Version, "Error", err)
 	}
 	c.relayActions = c.relay.Adopted(c.rng, c.relayActions)
-	c.planDue = now
+	c.planDue, c.planUntil = now, now.Add(planFor)
 	c.dirty = true
 }
 
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -78,11 +78,12 @@
 	planning   bool // a write of the placement table is under way
 	planDue    dandeliongap.Instant
 	planSince  dandeliongap.Instant
+	planUntil  dandeliongap.Instant // no change of the placement is possible later
 	nextHealth dandeliongap.Instant
 	nextVMs    dandeliongap.Instant
 	lastWall   time.Time // at lastTick
 	lastTick   dandeliongap.Instant
-	pulling    map[dandeliongap.MemberID]bool
+	pulling    bool // an exchange for newer objects is under way
 	replies    map[releaseKey][]chan dgplacement.Action
 	waiting    map[dandeliongap.ReplicaID]dgplacement.Action // grants that wait for the configuration
 }
@@ -101,7 +102,6 @@
 	c.events = make(chan func(dandeliongap.Instant), eventQueue)
 	c.lost = make(chan struct{})
 	c.zonesOut = map[dandeliongap.ZoneName]bool{}
-	c.pulling = map[dandeliongap.MemberID]bool{}
 	c.replies = map[releaseKey][]chan dgplacement.Action{}
 	c.waiting = map[dandeliongap.ReplicaID]dgplacement.Action{}
 	c.member = dgmember.New(now, c.self, c.rng)
--- a/dgnode/exchange.go
+++ b/dgnode/exchange.go
@@ -94,11 +94,9 @@
 // message returns this VM's side of an exchange, with the objects that are newer
 // than the other side's digest.
 func (c *control) message(now dandeliongap.Instant, other *dgwire.ExchangeMessage) *dgwire.ExchangeMessage {
-	v := c.member.Vector(now, nil)
 	m := &dgwire.ExchangeMessage{
 		FromMember:      string(c.self.ID),
 		ReachesPlatform: c.member.ReachesPlatform(now),
-		Contacts:        &dgwire.ContactVector{MembersVersion: uint64(v.Version), Ages: v.Ages},
 	}
 	for _, o := range c.set.Digest() {
 		m.Digest = append(m.Digest, &dgwire.ObjectVersion{Name: string(o.Name), Version: uint64(o.Version)})
@@ -109,6 +107,10 @@
 	if other == nil {
 		return m
 	}
+	// Only answers count as contact (rule K1 of dgmember), so that requests carry
+	// no vector.
+	v := c.member.Vector(now, nil)
+	m.Contacts = &dgwire.ContactVector{MembersVersion: uint64(v.Version), Ages: v.Ages}
 	for _, obj := range c.set.Newer(digestOf(other), dgrelay.MessageBytes) {
 		body, err := compress(obj.Body)
 		if err != nil {
@@ -169,23 +171,25 @@
 }
 
 // pull starts an exchange with a member whose digest is newer than what this VM
-// holds. One exchange per member is under way for this purpose.
+// holds. One exchange is under way for this purpose, since several members tell of
+// a new object at the same time and each would send it whole; the periodic
+// exchange repairs a pull that fails.
 func (c *control) pull(m *dgwire.ExchangeMessage) {
 	id := dandeliongap.MemberID(m.GetFromMember())
 	address := c.address(id)
 	if joining, ok := m.GetJoining().Value(); ok && address == "" {
 		address = joining.PeerAddress
 	}
-	if address == "" || id == c.self.ID || c.pulling[id] || !c.set.Behind(digestOf(m)) {
+	if address == "" || id == c.self.ID || c.pulling || !c.set.Behind(digestOf(m)) {
 		return
 	}
-	c.pulling[id] = true
+	c.pulling = true
 	msg := c.message(c.clock.now(), nil)
 	c.call(callLimit, func(ctx context.Context) {
 		c.stats.peerBytesOut.Add(int64(proto.Size(msg)))
 		reply, err := c.peers.Peer(address).Exchange(ctx, msg)
 		c.post(func(now dandeliongap.Instant) {
-			delete(c.pulling, id)
+			c.pulling = false
 			if err == nil {
 				c.stats.peerBytesIn.Add(int64(proto.Size(reply)))
 				c.heard(now, reply)
--- a/dgnode/owners.go
+++ b/dgnode/owners.go
@@ -156,7 +156,11 @@
 // plan writes the placement table when it has to change and it is this VM's turn
 // (L1).
 func (c *control) plan(now dandeliongap.Instant) {
-	if c.planning || now < c.planDue || c.deployment == nil || !c.member.Listed() || !c.member.ReachesPlatform(now) {
+	if c.deployment == nil || !c.member.Listed() || !c.member.ReachesPlatform(now) {
+		c.planUntil = now.Add(planFor)
+		return
+	}
+	if c.planning || now < c.planDue || now > c.planUntil && c.planSince == 0 {
 		return
 	}
 	c.planDue = now.Add(planEvery)
@@ -175,8 +179,13 @@
 	c.writeTable(in, rows, decisions)
 }
 
-// planEvery is the time between two looks at the placement.
-const planEvery = 250 * time.Millisecond
+const (
+	// planEvery is the time between two looks at the placement.
+	planEvery = 250 * time.Millisecond
+	// planFor is how long the placement is looked at after an adopted object. A
+	// plan depends on objects and on the time since the last moves only.
+	planFor = dgplacement.SettleTime + time.Second
+)
 
 func (c *control) planInput() dgplacement.Input {
 	return dgplacement.Input{
