Leave overloaded VMs out of the list of addresses on every VM

Cause: only the overloaded VM itself left its address out. Exchanges now carry the sign, which other VMs keep for 2 s; the list has at most 16 addresses, which would be 610 otherwise.

--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -48,30 +48,46 @@
 	app.Post("/v1/actions", n.postAction)
 }
 
+// maxAddresses bounds the list of addresses. A caller needs a few to choose from,
+// and 610 would take 12 KB each time.
+const maxAddresses = 16
+
 // getAddresses tells callers which VMs to use, in an order that differs from
-// call to call so that callers spread evenly.
+// call to call so that callers spread evenly. Overloaded VMs are left out unless
+// all are.
 func (n *Node) getAddresses(c fiber.Ctx) error {
 	v := n.view.Load()
-	var addresses []string
+	var free, all []string
 	for _, m := range v.Members {
-		if m.State != dandeliongap.MemberLive || v.ZonesOut[m.Zone] {
+		if m.State != dandeliongap.MemberLive || v.ZonesOut[m.Zone] || m.ID == v.Self && n.leaving() {
 			continue
 		}
-		if m.ID == v.Self && (n.busy() || n.stopping.Load() || n.control.vmLeaving.Load()) {
-			continue
+		all = append(all, m.CallerAddress)
+		overloaded := n.control.overloadedMember(m.ID)
+		if m.ID == v.Self {
+			overloaded = n.busy()
+		}
+		if !overloaded {
+			free = append(free, m.CallerAddress)
 		}
-		addresses = append(addresses, m.CallerAddress)
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses := free
+	if len(addresses) == 0 {
+		addresses = all
+	}
 	if len(addresses) == 0 {
 		addresses = []string{n.settings.CallerAnnounce}
 	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return c.JSON(struct {
 		Addresses []string
 		KeepMs    int64
-	}{addresses, keepAddresses.Milliseconds()})
+	}{addresses[:min(len(addresses), maxAddresses)], keepAddresses.Milliseconds()})
 }
 
+// leaving tells whether this VM is about to stop.
+func (n *Node) leaving() bool { return n.stopping.Load() || n.control.vmLeaving.Load() }
+
 func (n *Node) postSearch(c fiber.Ctx) error {
 	var req searchRequest
 	if err := c.Bind().JSON(&req); err != nil {
--- a/dgnode/control.go
+++ b/dgnode/control.go
@@ -55,6 +55,11 @@
 	events   chan func(now dandeliongap.Instant)
 	// zoneOutAt is the Instant at which this VM's zone was taken out.
 	zoneOutAt atomic.Int64
+	// overloaded tells whether this VM is near its limit of requests, and
+	// overloadedUntil holds the Instant until which each member that reported it
+	// counts as overloaded.
+	overloaded      func() bool
+	overloadedUntil sync.Map
 	// vmLeaving tells that the platform's VM list shows this VM as leaving.
 	vmLeaving atomic.Bool
 
--- a/dgnode/exchange.go
+++ b/dgnode/exchange.go
@@ -97,6 +97,7 @@
 	m := &dgwire.ExchangeMessage{
 		FromMember:      string(c.self.ID),
 		ReachesPlatform: c.member.ReachesPlatform(now),
+		Overloaded:      c.overloaded(),
 	}
 	for _, o := range c.set.Digest() {
 		m.Digest = append(m.Digest, &dgwire.ObjectVersion{Name: string(o.Name), Version: uint64(o.Version)})
@@ -121,6 +122,16 @@
 	return m
 }
 
+// overloadKept is how long a member that reported an overload is left out of the
+// list of addresses.
+const overloadKept = 2 * time.Second
+
+// overloadedMember tells whether a member reported an overload a moment ago.
+func (c *control) overloadedMember(id dandeliongap.MemberID) bool {
+	until, ok := c.overloadedUntil.Load(id)
+	return ok && c.clock.now() < until.(dandeliongap.Instant)
+}
+
 func (c *control) listedAs(self dandeliongap.Member) bool {
 	for _, m := range c.list.Members {
 		if m == self {
@@ -151,6 +162,11 @@
 // heard adopts what the other side of an exchange sent, and asks it for what its
 // digest shows as newer.
 func (c *control) heard(now dandeliongap.Instant, m *dgwire.ExchangeMessage) {
+	if m.GetOverloaded() {
+		c.overloadedUntil.Store(dandeliongap.MemberID(m.GetFromMember()), now.Add(overloadKept))
+	} else {
+		c.overloadedUntil.Delete(dandeliongap.MemberID(m.GetFromMember()))
+	}
 	for _, o := range m.GetNewer() {
 		body, err := decompress(o.GetGzipBody())
 		if err != nil {
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -162,6 +162,7 @@
 		rng:      newRand(),
 	}
 	decisions := newDecisionLog(o.Decisions, self.VM)
+	n.control.overloaded = n.busy
 	n.gates = newGates(n.clock, o.Backend, decisions, n.control.drained)
 	n.entry = &entry{
 		clock:       n.clock,
