--- a/dgdemo/helpers_test.go
+++ b/dgdemo/helpers_test.go
@@ -72,7 +72,7 @@
 	runner *dgdemo.Runner
 }
 
-// clusterVMs is the number of VMs that each test finds and leaves.
+// clusterVMs is the least number of VMs that each test finds and leaves.
 const clusterVMs = 6
 
 // started is the cluster that the tests share, since its start takes seconds.
@@ -156,6 +156,17 @@
 	return f.runner.Restart()
 }
 
+// underLoadOfSearches is underLoad without actions.
+func (f *fixture) underLoadOfSearches(do func()) *dgdemo.Tally {
+	mixed := f.runner
+	defer func() { f.runner = mixed }()
+	var err error
+	f.runner, err = dgdemo.NewRunner(f.Cluster, []dgdemo.Job{{Service: search, Share: 1}}, seeds.Add(1))
+	f.Expect(err).NotTo(HaveOccurred())
+	defer f.runner.Close()
+	return f.underLoad(do)
+}
+
 // expectAllAnswered expects that every search was answered in full.
 func (f *fixture) expectAllAnswered(t *dgdemo.Tally) {
 	f.Expect(t.Searches).To(BeNumerically(">", 0))
--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -286,5 +286,8 @@
 	if errors.As(err, &fe) {
 		status = fe.Code
 	}
+	if conn, ok := c.RequestCtx().Conn().(*openConn); ok && (status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge) {
+		conn.unread.Store(true)
+	}
 	return c.Status(status).JSON(struct{ Error string }{err.Error()})
 }
--- a/dgnode/connections.go
+++ b/dgnode/connections.go
@@ -1,8 +1,11 @@
 package dgnode
 
 import (
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // openConns is a listener that knows its open connections. The HTTP servers wait
@@ -19,9 +22,13 @@
 // openConn is one connection. Embedding keeps what watchHangUp needs.
 type openConn struct {
 	*net.TCPConn
-	owner *openConns
+	owner  *openConns
+	unread atomic.Bool // the request was refused before it was read
 }
 
+// lingerLimit bounds how long a refused request is read and dropped.
+const lingerLimit = 500 * time.Millisecond
+
 func newOpenConns(l net.Listener) *openConns {
 	return &openConns{Listener: l, open: map[*openConn]struct{}{}}
 }
@@ -44,8 +51,12 @@
 	return c, nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What is left of a refused request is read first: a
+// close with unread bytes resets the connection, and the refusal could be lost.
 func (c *openConn) Close() error {
+	if c.unread.Load() && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerLimit)) == nil {
+		_, _ = io.Copy(io.Discard, c.TCPConn)
+	}
 	c.owner.mu.Lock()
 	delete(c.owner.open, c)
 	c.owner.mu.Unlock()
