Do not size the check of a catalog by the number of parts that it claims

A catalog object with 100 million parts and no shard took 1.2 GB on every VM that adopted it, before it was refused. The set of parts now grows with the shards of the body.

--- a/dgnode/adopt.go
+++ b/dgnode/adopt.go
@@ -176,7 +176,7 @@
 }
 
 func checkSnapshot(group dandeliongap.ServiceName, s *dandeliongap.Snapshot) error {
-	seen := make(map[dandeliongap.PartID]bool, s.Parts)
+	seen := map[dandeliongap.PartID]bool{} // not sized by Parts, which is only claimed
 	for _, shard := range s.Shards {
 		for _, p := range shard.Parts {
 			if int(p) >= s.Parts || seen[p] {
