--- a/dgtrial/cases.go
+++ b/dgtrial/cases.go
@@ -68,7 +68,7 @@
 // StragglerFactor times slower with a run without, both at busyLoad by usual
 // service times.
 func straggler(b *bench, r *Row) {
-	const end = 8 * time.Second
+	const end = 16 * time.Second
 	l := b.at(busyLoad, end)
 	slow := l
 	slow.Stragglers = StragglerShare
@@ -77,6 +77,7 @@
 	with := func(p policy) window { return p.measured.tally.between(warmUp, end) }
 	r.atMost("p99 ratio to the run without stragglers", "", p99RatioMost, func(p policy) float64 { return ratio(with(p).p99(), before(p).p99()) }, runs)
 	r.atMost("extra load", "", hedgeExtraMost, func(p policy) float64 { return with(p).extra() }, runs)
+	r.note("share of searches above 1.5 times the p99 without stragglers", "", func(p policy) float64 { return with(p).above(p99RatioMost * before(p).p99()) }, runs)
 	r.note("p99 without stragglers", "ms", func(p policy) float64 { return before(p).p99() }, runs)
 	r.note("p99 with stragglers", "ms", func(p policy) float64 { return with(p).p99() }, runs)
 	r.note("p50 with stragglers", "ms", func(p policy) float64 { return with(p).quantile(0.5) }, runs)
@@ -204,6 +205,8 @@
 	r.atMost("lost searches", "", countMost, func(p policy) float64 { return float64(out(p).lost() + back(p).lost()) }, runs)
 	r.atMost("p99 ratio while out", "", p99RatioMost, func(p policy) float64 { return ratio(out(p).p99(), steady(p)) }, runs)
 	r.atMost("p99 ratio after the return", "", p99RatioMost, func(p policy) float64 { return ratio(back(p).p99(), steady(p)) }, runs)
+	r.note("share of searches above 1.5 times the steady p99 while out", "", func(p policy) float64 { return out(p).above(p99RatioMost * steady(p)) }, runs)
+	r.note("share of searches above 1.5 times the steady p99 after the return", "", func(p policy) float64 { return back(p).above(p99RatioMost * steady(p)) }, runs)
 	r.note("p99 steady", "ms", steady, runs)
 	r.note("p99 while out", "ms", func(p policy) float64 { return out(p).p99() }, runs)
 	r.note("p99 after the return", "ms", func(p policy) float64 { return back(p).p99() }, runs)
--- a/dgtrial/tally.go
+++ b/dgtrial/tally.go
@@ -101,6 +101,13 @@
 	return float64(sent-first) / float64(first)
 }
 
+// above returns the share of searches that took longer than the given
+// milliseconds.
+func (w window) above(ms float64) float64 {
+	limit := time.Duration(ms * float64(time.Millisecond))
+	return ratio(float64(w.count(func(r *record) bool { return r.latency > limit })), float64(len(w.records)))
+}
+
 // lost returns the number of searches that were not answered in full.
 func (w window) lost() int { return w.count(func(r *record) bool { return !r.full() }) }
 
