Hedge attempts that are known to run although the other replica is busy

Stragglers held the slots of both replicas, and R6 sent no hedge because of the queues that they caused. Owners send in order, so that an attempt runs if its replica has answered a later one of the same or a less urgent class.

--- a/dgfanout/planner.go
+++ b/dgfanout/planner.go
@@ -181,6 +181,9 @@
 	lostUntil dandeliongap.Instant
 	backOff   time.Duration
 
+	// sentLast is when the newest attempt was sent that has an answer, by urgency.
+	sentLast [dandeliongap.ClassCount]dandeliongap.Instant
+
 	misses    int // attempts without an answer since the last answer
 	slowUntil dandeliongap.Instant
 	slowFor   time.Duration
@@ -330,6 +333,18 @@
 	return (float64(r.out) + r.queued(now) + 1) * float64(r.recent(now, typical)) / r.limit(now, c)
 }
 
+// overtook reports whether the replica has answered an attempt of the same or a
+// less urgent class that was sent after the given instant. Owners send in order,
+// so that an attempt without an answer from before then runs and does not queue.
+func (r *replica) overtook(class dandeliongap.Class, sent dandeliongap.Instant) bool {
+	for _, last := range r.sentLast[urgency(class):] {
+		if last > sent {
+			return true
+		}
+	}
+	return false
+}
+
 // take takes one token for an extra sub-request if the reserve is left (R8).
 func (p *Planner) take(reserve float64) bool {
 	if p.tokens < 1+reserve {
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -466,6 +466,8 @@
 		d := now.Sub(a.sent)
 		c.learned.observe(now, d, c.leaf.typical())
 		c.learned.answered = now
+		u := urgency(q.req.Class)
+		c.learned.sentLast[u] = max(c.learned.sentLast[u], a.sent)
 		c.leaf.observe(d)
 		c.zone.observe(now, d)
 	}
@@ -716,7 +718,9 @@
 	if c == nil {
 		c = p.same(now, q, s, l, &w)
 	}
-	if c == nil || c.busy(now) || p.saves(now, q, s) || !p.take(hedgeReserve) {
+	a := &q.attempts[s.last]
+	straggles := a.c.learned.overtook(q.req.Class, a.sent)
+	if c == nil || !straggles && (c.busy(now) || p.saves(now, a)) || !p.take(hedgeReserve) {
 		return dst
 	}
 	return p.send(now, q, i, c, RuleHedge, dst)
@@ -743,8 +747,7 @@
 
 // saves reports whether a hedge has to wait because few tokens are left: usual
 // late answers arrive within twice the delay, stragglers do not.
-func (p *Planner) saves(now dandeliongap.Instant, q *Query, s *shard) bool {
-	a := &q.attempts[s.last]
+func (p *Planner) saves(now dandeliongap.Instant, a *attempt) bool {
 	return p.tokens < hedgeScarce && now.Sub(a.sent) < 2*a.c.leaf.hedgeDelay()
 }
 
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -462,6 +462,26 @@
 		}),
 	)
 
+	DescribeTable("R6 hedges behind a queue only what runs already (guards against stragglers that hold the slots of a busy leaf)",
+		func(class dg.Class, hedges int) {
+			r := newRig(newView(1, 2)).warm(10 * time.Millisecond)
+			a := r.first()
+			first := r.q
+			r.now += ms
+			other := map[dg.ReplicaID]dg.ReplicaID{"l000/0": "l000/1", "l000/1": "l000/0"}[a.Replica]
+			r.answer(dgfanout.Answer{Replica: other, Status: dg.SubAnswered, Mark: dg.Mark{Limit: 3, Queued: 30}})
+			later := r.start(dgfanout.Request{Class: class})[0]
+			Expect(later.Replica).To(Equal(a.Replica))
+			r.now += 2 * ms
+			r.answer(r.ok(later))
+			r.q = first
+			Expect(sends(r.tickTo(r.now + 50*ms))).To(HaveLen(hedges))
+		},
+		Entry("a later attempt of the same class was answered", dg.ClassOrdinary, 1),
+		Entry("a later attempt of a less urgent class was answered", dg.ClassArchive, 1),
+		Entry("only a more urgent one was answered", dg.ClassUrgent, 0),
+	)
+
 	DescribeTable("R9 starts no second try (guards against tries that cannot help)",
 		func(change func(*rig), again int) {
 			r := newRig(catalog(newView(1, 1), 6, 7, 8))
