Send a third attempt when the second is late too

Cause: after a hedge no further decision followed. The third attempt may go to a replica that was tried before, since leaves have two replicas.

Ruled out: using the delay of all leaves until a leaf has 128 samples, for the first seconds after a start.

The tests of the second attempt behind a queue end before the third one is due.

--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -26,16 +26,17 @@
 //	    urgent one asked to wait.
 //	R6  Hedge: a search sends a second attempt to another replica when the first
 //	    is later than the learned delay of the leaf service, or to the same one
-//	    if it is the only one that may be used. The loser is cancelled. None
-//	    while the leaf is overloaded. If the expected wait of the second attempt
-//	    is over twice the delay, only an attempt that runs is hedged: its replica
-//	    has answered one of the same or a less urgent class that was sent later.
+//	    if it is the only one that may be used, and a third attempt to either
+//	    when the second is late too. The losers are cancelled. None while the
+//	    leaf is overloaded. If the expected wait of the next attempt is over
+//	    twice the delay, only an attempt that runs is hedged: its replica has
+//	    answered one of the same or a less urgent class that was sent later.
 //	R7  Retry: a failed attempt is repeated at another replica, at most 3
 //	    attempts for each shard, none while the leaf is overloaded.
 //	R8  Budget: hedges and retries of all queries take tokens from one bucket,
 //	    filled with a share of the other sub-requests sent. Hedges leave two
 //	    tokens for retries, and below six tokens they wait for twice the delay
-//	    unless the first attempt is known to run.
+//	    unless the attempt is known to run.
 //	R9  Version gone: if no replica of a shard holds the snapshot, the whole
 //	    query is tried once more with another live snapshot. That try is outside
 //	    of R8: it happens only until R2 knows that the version is gone.
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -331,7 +331,7 @@
 	switch {
 	case q.req.Plain:
 		return roundUp(now.Add(plainTimeout))
-	case q.req.Action || s.open > 1 || s.attempts == maxAttempts:
+	case q.req.Action || s.attempts == maxAttempts:
 		return never
 	default:
 		return roundUp(now.Add(c.leaf.hedgeDelay()))
@@ -718,6 +718,10 @@
 	if c == nil {
 		c = p.same(now, q, s, l, &w)
 	}
+	if c == nil && s.open > 1 {
+		// The third attempt may repeat a replica: its first one may be a straggler.
+		c, _ = p.choose(now, l, &w, nil, rng)
+	}
 	a := &q.attempts[s.last]
 	straggles := a.c.learned.overtook(q.req.Class, a.sent)
 	if c == nil || !straggles && (c.busy(now) || p.saves(now, a)) || !p.take(hedgeReserve) {
