--- a/dgdemo/cluster.go
+++ b/dgdemo/cluster.go
@@ -39,7 +39,8 @@
 	Service dgstandin.ServiceTime
 	// Plain makes the VMs use the baseline policy.
 	Plain bool
-	// Log receives the decision logs of all VMs. Default: discarded.
+	// Log receives the decision logs of all VMs. It must take whole lines from
+	// several goroutines at a time. Default: discarded.
 	Log io.Writer
 }
 
@@ -68,9 +69,6 @@
 
 // NewCluster starts a cluster and puts the text in force. ctx bounds the start.
 func NewCluster(ctx context.Context, o ClusterOptions) (*Cluster, error) {
-	if o.Log != nil {
-		o.Log = &lineWriter{w: o.Log}
-	}
 	c := &Cluster{options: o}
 	if err := c.start(ctx); err != nil {
 		return nil, errors.Join(err, c.Close())
@@ -178,19 +176,6 @@
 	return err
 }
 
-// lineWriter lets several loggers write whole lines to one writer.
-type lineWriter struct {
-	mu sync.Mutex
-	w  io.Writer
-}
-
-// Write implements io.Writer.
-func (l *lineWriter) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.w.Write(b)
-}
-
 // logger returns the log of one VM; without a writer it formats nothing.
 func (c *Cluster) logger(name dandeliongap.VMName) *log.Logger {
 	if c.options.Log == nil {
