Serve callers half a second longer than they may keep an address

Cause: a stopping VM refused requests exactly when the addresses that it had been on ran out, so that a request sent in time could arrive too late; an action is sent once and was refused as stopping.

--- a/dgdemo/replace_test.go
+++ b/dgdemo/replace_test.go
@@ -30,7 +30,7 @@
 		}
 	})
 	f.expectAllAnswered(tally)
-	f.Expect(tally.ActionsAnswered).To(And(BeNumerically(">", 0), Equal(tally.Actions)))
+	f.Expect(tally.ActionsAnswered).To(And(BeNumerically(">", 0), Equal(tally.Actions)), "%v", tally.Reasons)
 	f.expectPromisesKept(tally)
 	f.until("only the new VMs are members", f.Ready)
 }
--- a/dgdemo/runner.go
+++ b/dgdemo/runner.go
@@ -31,8 +31,9 @@
 	Actions, ActionsAnswered, ActionsRefused, ActionsUnknown  int64
 	ConnectionsLost                                           int64 // requests whose connection broke
 	SnapshotViolations, CoverageViolations, CrossedViolations int64
-	FalseRefusals                                             int64 // actions told as not run that ran
-	Expected                                                  int64 // sub-requests that the requests need
+	FalseRefusals                                             int64            // actions told as not run that ran
+	Expected                                                  int64            // sub-requests that the requests need
+	Reasons                                                   map[string]int64 // of refusals and unknown outcomes
 	merged, total                                             int64
 	latency                                                   map[string]*hdrhistogram.Histogram // microseconds, by class
 }
@@ -42,7 +43,9 @@
 	latencyDigits = 3
 )
 
-func newTally() *Tally { return &Tally{latency: map[string]*hdrhistogram.Histogram{}} }
+func newTally() *Tally {
+	return &Tally{latency: map[string]*hdrhistogram.Histogram{}, Reasons: map[string]int64{}}
+}
 
 // Coverage is the share of parts in all answered searches, 1 if there is none.
 func (t *Tally) Coverage() float64 {
@@ -168,9 +171,11 @@
 		t.Answered++
 	case errors.Is(err, dandeliongap.ErrNotRun):
 		t.Refused++
+		t.Reasons[res.Reason]++
 		return
 	default:
 		t.Unknown++
+		t.Reasons[res.Reason]++
 		if res.Outcome == dandeliongap.OutcomeUnknown && res.ID == "" {
 			t.ConnectionsLost++
 		}
@@ -237,9 +242,11 @@
 		t.Expected++
 	case errors.Is(err, dandeliongap.ErrNotRun):
 		t.ActionsRefused++
+		t.Reasons["action: "+res.Reason]++
 		r.notRun[key] = true
 	default:
 		t.ActionsUnknown++
+		t.Reasons["action: "+res.Reason]++
 		if res.ID == "" {
 			t.ConnectionsLost++
 		}
--- a/dgnode/admit.go
+++ b/dgnode/admit.go
@@ -63,7 +63,7 @@
 	switch {
 	case n.draining.Load():
 		why = dandeliongap.ReasonStopping
-	case v.ZonesOut[n.settings.Zone] && n.clock.now() > n.zoneOutSince().Add(keepAddresses):
+	case v.ZonesOut[n.settings.Zone] && n.clock.now() > n.zoneOutSince().Add(keepAddresses+keepMargin):
 		// Callers may keep an address for a while after it left the list.
 		why = dandeliongap.ReasonZoneOut
 	case !v.Serving:
--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -17,6 +17,9 @@
 	// that is taken out accepts nothing new after this time, within the 3 s that
 	// operators are promised.
 	keepAddresses = 2 * time.Second
+	// keepMargin covers the way of the list to the caller and of a request to
+	// the VM.
+	keepMargin = 500 * time.Millisecond
 	// maxDeadline bounds the deadline of one request.
 	maxDeadline = time.Minute
 	// maxKey bounds an idempotency key, in bytes.
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -267,7 +267,7 @@
 	started := time.Now()
 	n.control.leave(ctx)
 	// Callers may use an address for as long as they were told to keep it.
-	pause(ctx, time.Until(started.Add(keepAddresses)))
+	pause(ctx, time.Until(started.Add(keepAddresses+keepMargin)))
 	n.draining.Store(true)
 	cut := !n.waitForRequests(ctx)
 	if n.killed.Err() != nil {
