Count only responses with the cold mark as word of a cold server

The driver took the end of a cancelled request for word of the turn, although it carries no Load-State in the protocol, so that an owner cannot know from it. The bound on requests that the owner could not avoid (slots less the requests in the server at the turn) stays as it was.

The bound itself can be exceeded by one request: a cancellation frees a slot of the cold server before its first answer, and the owner uses the slot.

Ruled out in dggate: using a slot that a cancellation freed only after the next answer. A Load-State header on the response to a cancellation would close the gap.

--- a/dgtrial/doc.go
+++ b/dgtrial/doc.go
@@ -56,7 +56,8 @@
 //   - False refusal: a search with the outcome "not run" of which a server
 //     started at least one attempt, before or after the refusal.
 //   - Cold excess: a request that a cold server received above its cold limit
-//     and that its owner sent after the first response that followed the turn
-//     had reached it, or beyond the number that could be under way when the
-//     server turned cold (slots less the requests then in the server).
+//     and that its owner sent after the first response with the cold mark had
+//     reached it, or beyond the number that could be under way when the server
+//     turned cold (slots less the requests then in the server). Answers and
+//     shed refusals carry the mark; the end of a cancelled request does not.
 package dgtrial
--- a/dgtrial/server.go
+++ b/dgtrial/server.go
@@ -41,7 +41,7 @@
 	cold         bool
 	coldLeft     int                  // answers until warm
 	excused      int                  // requests above the limit that the owner could not avoid
-	informedAt   dandeliongap.Instant // when the first response after the turn reached the owner
+	informedAt   dandeliongap.Instant // when the first response with the cold mark reached the owner
 }
 
 // serviceTime draws the time that a request takes (T3).
@@ -143,7 +143,7 @@
 // reply sends a result to the owner.
 func (s *server) reply(w *work, res dggate.Result) {
 	at := s.sim.after(s.sim.delay(s.site.replica.Zone, s.site.replica.Zone))
-	if s.cold {
+	if res.Cold {
 		s.informedAt = min(s.informedAt, at)
 	}
 	s.sim.at(at, func() { s.site.done(w, res) })
