--- /dev/null
+++ b/dgcommand/command_test.go
@@ -0,0 +1,160 @@
+package dgcommand_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dandeliongap.example/dandeliongap/dgcommand"
+	"dandeliongap.example/dandeliongap/dgdemo"
+	"github.com/alecthomas/kong"
+	. "github.com/onsi/gomega"
+)
+
+// startLimit bounds the start of the cluster; it is no expected time.
+const startLimit = time.Minute
+
+const text = `[deployment]
+name = small
+zones = zone-a, zone-b
+hedge extra = 5%
+[defaults shard]
+class = ordinary
+deadline = 20s
+partial = yes
+actions = no
+slots = 3
+connections = 30
+connect cost = 1ms
+cold limit = 1
+[service search]
+like = shard
+depends = search-1
+[service search-1]
+like = shard
+replica 1 = 127.0.0.1:21000 in zone-a
+replica 2 = 127.0.0.1:21001 in zone-b
+[service dispatch]
+like = shard
+actions = yes
+depends = dispatch-1
+[service dispatch-1]
+like = shard
+actions = yes
+replica 1 = 127.0.0.1:21002 in zone-a
+replica 2 = 127.0.0.1:21003 in zone-b
+`
+
+// run runs one command line as the program does.
+func run(t *testing.T, args ...string) (code int, out string) {
+	t.Helper()
+	var cli dgcommand.CLI
+	parser, err := kong.New(&cli)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	c, err := parser.Parse(args)
+	if err != nil {
+		return dgcommand.ExitUsage, err.Error()
+	}
+	var b bytes.Buffer
+	err = c.Run(&dgcommand.Env{Ctx: t.Context(), Out: &b, Err: &b})
+	if err != nil {
+		fmt.Fprintln(&b, err)
+	}
+	return dgcommand.ExitCode(err), b.String()
+}
+
+func file(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	NewWithT(t).Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return path
+}
+
+// Guards against a check that passes a faulty text, or whose exit code or place
+// of the fault misleads a script.
+func TestCheck(t *testing.T) {
+	g := NewWithT(t)
+	good := file(t, "good.ini", text)
+	code, out := run(t, "check", good)
+	g.Expect(code).To(Equal(dgcommand.ExitOK))
+	g.Expect(out).To(ContainSubstring("no fault, deployment small with 4 services"))
+	bad := file(t, "bad.ini", strings.Replace(text, "slots = 3", "slots = many", 1))
+	code, out = run(t, "check", bad)
+	g.Expect(code).To(Equal(dgcommand.ExitFailed))
+	g.Expect(out).To(ContainSubstring(bad + ":10: "))
+	code, out = run(t, "check", "--json", bad)
+	g.Expect(code).To(Equal(dgcommand.ExitFailed))
+	g.Expect(out).To(ContainSubstring(`"Faults":[{`))
+	code, _ = run(t, "check", filepath.Join(t.TempDir(), "none.ini"))
+	g.Expect(code).To(Equal(dgcommand.ExitFailed))
+	code, _ = run(t, "check", "--none", good)
+	g.Expect(code).To(Equal(dgcommand.ExitUsage))
+}
+
+// Guards against commands whose exit codes and output do not say what the tier
+// answered.
+func TestCommandsAgainstACluster(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
+	defer cancel()
+	c, err := dgdemo.NewCluster(ctx, dgdemo.ClusterOptions{Text: text, VMs: 2, Service: dgdemo.ServiceTime})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { g.Expect(c.Close()).To(Succeed()) }()
+	token := file(t, "token", dgdemo.OperatorToken+"\n")
+	caller := []string{"--address", c.Addresses()[0]}
+	operator := append([]string{"--token-file", token}, caller...)
+	expect := func(code int, args []string, says ...string) string {
+		t.Helper()
+		got, out := run(t, args...)
+		g.Expect(got).To(Equal(code), "%v: %s", args, out)
+		for _, s := range says {
+			g.Expect(out).To(ContainSubstring(s), "%v", args)
+		}
+		return out
+	}
+	with := func(flags []string, args ...string) []string { return append(args, flags...) }
+
+	t.Log("show and apply")
+	g.Expect(expect(dgcommand.ExitOK, with(operator, "show"))).To(Equal(c.Text))
+	var shown struct {
+		Version int64
+		Text    string
+	}
+	g.Expect(json.Unmarshal([]byte(expect(dgcommand.ExitOK, with(operator, "show", "--json"))), &shown)).To(Succeed())
+	changed := file(t, "changed.ini", "# changed\n"+c.Text)
+	expect(dgcommand.ExitUnauthorized, with(caller, "show"))
+	expect(dgcommand.ExitUnauthorized, with(caller, "apply", changed))
+	expect(dgcommand.ExitFailed, with(operator, "apply", file(t, "bad.ini", "slots")), "bad.ini:1: ")
+	expect(dgcommand.ExitOK, with(operator, "apply", "--wait", "1m", changed), "accepted as version ", "entry-1", "entry-2")
+	expect(dgcommand.ExitConflict, with(operator, "apply", "--if-version", fmt.Sprint(shown.Version), changed), fmt.Sprintf("based on version %d", shown.Version))
+	g.Expect(expect(dgcommand.ExitOK, with(operator, "show"))).To(HavePrefix("# changed\n"))
+	expect(dgcommand.ExitUnreachable, []string{"show", "--address", "127.0.0.1:1", "--token-file", token})
+
+	t.Log("status and zones")
+	expect(dgcommand.ExitOK, with(operator, "status", "--all"), "entry-1", "entry-2", "search-1/1", "dispatch-1/2")
+	g.Expect(json.Valid([]byte(expect(dgcommand.ExitOK, with(operator, "status", "--json"))))).To(BeTrue())
+	expect(dgcommand.ExitUnauthorized, with(caller, "status"))
+	expect(dgcommand.ExitFailed, with(operator, "zone", "take-out", "none"), "none")
+	expect(dgcommand.ExitUnauthorized, with(caller, "zone", "take-out", "zone-b"))
+	expect(dgcommand.ExitOK, with(operator, "zone", "take-out", "zone-b"), "zone zone-b is taken out")
+	expect(dgcommand.ExitOK, with(operator, "status"), "[zone-b]")
+	expect(dgcommand.ExitOK, with(operator, "zone", "return", "zone-b"), "zone zone-b is in service")
+
+	t.Log("searches and actions")
+	expect(dgcommand.ExitOK, with(caller, "search", "search", "sleepers"), "answered: coverage 100.00% (2 of 2 parts)")
+	expect(dgcommand.ExitFailed, with(caller, "search", "none", "sleepers"), "unknown service")
+	expect(dgcommand.ExitUsage, with(caller, "search", "search", "sleepers", "--class", "none"))
+	first := expect(dgcommand.ExitOK, with(caller, "act", "dispatch", "40 sleepers", "--key", "order-1"), "key order-1: answered")
+	g.Expect(expect(dgcommand.ExitOK, with(caller, "act", "dispatch", "40 sleepers", "--key", "order-1"))).To(Equal(first))
+	expect(dgcommand.ExitConflict, with(caller, "act", "dispatch", "80 sleepers", "--key", "order-1"), "not run")
+	g.Expect(c.Fleet.Ledger().Runs("order-1")).To(Equal(1))
+	expect(dgcommand.ExitOK, with(caller, "act", "dispatch", "40 sleepers", "--json"), `"Outcome":"answered"`)
+	expect(dgcommand.ExitOK, with(caller, "search", "search", "sleepers", "--json"), `"Outcome":"answered"`)
+	expect(dgcommand.ExitFailed, with(caller, "act", "search", "40 sleepers"), "accepts no actions")
+}
--- a/dgcommand/request.go
+++ b/dgcommand/request.go
@@ -93,7 +93,10 @@
 		MinCoverage: c.MinCoverage,
 	})
 	if c.JSON {
-		if perr := printJSON(env.Out, r); perr != nil {
+		if perr := printJSON(env.Out, struct {
+			dgclient.SearchResult
+			Outcome string // by its name
+		}{r, r.Outcome.String()}); perr != nil {
 			return perr
 		}
 		return err
@@ -144,7 +147,10 @@
 		Deadline: c.Deadline,
 	})
 	if c.JSON {
-		if perr := printJSON(env.Out, r); perr != nil {
+		if perr := printJSON(env.Out, struct {
+			dgclient.ActionResult
+			Outcome string // by its name
+		}{r, r.Outcome.String()}); perr != nil {
 			return perr
 		}
 		return err
--- a/dgdemo/cluster.go
+++ b/dgdemo/cluster.go
@@ -24,8 +24,8 @@
 	"github.com/gravitational/trace"
 )
 
-// operatorToken is the token of embedded clusters, which listen on loopback only.
-const operatorToken = "embedded-cluster-token"
+// OperatorToken is the token of embedded clusters, which listen on loopback only.
+const OperatorToken = "embedded-cluster-token"
 
 // ClusterOptions describe an embedded cluster.
 type ClusterOptions struct {
@@ -158,7 +158,7 @@
 	s.CallerAnnounce, s.PeerAnnounce = callers.Addr().String(), peers.Addr().String()
 	s.Platform = c.Platform.Address()
 	s.Seeds = c.seeds()
-	s.OperatorToken = operatorToken
+	s.OperatorToken = OperatorToken
 	v.store, err = dgplatform.New(dgplatform.Options{Address: s.Platform})
 	if err != nil {
 		return errors.Join(err, callers.Close(), peers.Close())
@@ -224,7 +224,7 @@
 
 // Client returns a client that knows the addresses of all VMs.
 func (c *Cluster) Client() (*dgclient.Client, error) {
-	return dgclient.New(dgclient.Options{Addresses: c.Addresses(), Token: operatorToken})
+	return dgclient.New(dgclient.Options{Addresses: c.Addresses(), Token: OperatorToken})
 }
 
 // ReplaceVM shuts one VM down gracefully and starts a new one in its zone.
