--- a/dgdaemon/daemon.go
+++ b/dgdaemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgbackend"
@@ -70,7 +71,24 @@
 		return dgsettings.Daemon{}, fmt.Errorf("%w:\n%s", dandeliongap.ErrInvalid, faults)
 	}
 	f.override(&s)
-	return s, nil
+	return s, check(s)
+}
+
+// check runs the checks of the settings on the values that are in force, since
+// flags may have replaced some.
+func check(s dgsettings.Daemon) error {
+	text := fmt.Sprintf("[daemon]\nvm = %s\nzone = %s\ncaller listen = %s\npeer listen = %s\ncaller announce = %s\npeer announce = %s\n"+
+		"platform = %s\nlog level = %s\noperator token = %s\n",
+		s.VM, s.Zone, s.CallerListen, s.PeerListen, s.CallerAnnounce, s.PeerAnnounce, s.Platform, s.LogLevel, string(s.OperatorToken))
+	read, faults := dgsettings.ParseDaemon("flags", []byte(text))
+	if faults.Any() {
+		return fmt.Errorf("flags: %w:\n%s", dandeliongap.ErrInvalid, faults)
+	}
+	read.Seeds, read.Limits, read.Shutdown, read.ClockSkew = s.Seeds, s.Limits, s.Shutdown, s.ClockSkew
+	if !reflect.DeepEqual(read, s) {
+		return fmt.Errorf("flags: a value has a comment or a line break: %w", dandeliongap.ErrInvalid)
+	}
+	return nil
 }
 
 func (f *Flags) override(s *dgsettings.Daemon) {
--- /dev/null
+++ b/dgdaemon/daemon_test.go
@@ -0,0 +1,138 @@
+package dgdaemon_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dandeliongap.example/dandeliongap/dgdaemon"
+	"dandeliongap.example/dandeliongap/dgstandin"
+	. "github.com/onsi/gomega"
+)
+
+// patience bounds waits for events that always come; it is no expected time.
+const patience = time.Minute
+
+// settings returns a settings file with the given platform.
+func settings(t *testing.T, platform string, replace ...string) string {
+	t.Helper()
+	text := "[daemon]\nvm = entry-1\nzone = zone-a\ncaller listen = 127.0.0.1:1\npeer listen = 127.0.0.1:2\n" +
+		"platform = " + platform + "\noperator token = 0123456789abcdef\n"
+	path := filepath.Join(t.TempDir(), "daemon.ini")
+	NewWithT(t).Expect(os.WriteFile(path, []byte(strings.NewReplacer(replace...).Replace(text)), 0o600)).To(Succeed())
+	return path
+}
+
+// output is a buffer for a daemon that runs while the test reads.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// Guards against a daemon that starts with faulty settings, or does not say where
+// the fault is.
+func TestBadSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		flags dgdaemon.Flags
+		says  string
+	}{
+		"bad value":     {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3", "127.0.0.1:2", "nowhere")}, "daemon.ini:5: "},
+		"unknown key":   {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3", "zone = zone-a", "zone = zone-a\ncolour = red")}, "daemon.ini:4: "},
+		"missing key":   {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3", "vm = entry-1\n", "")}, "daemon.ini:1: "},
+		"no file":       {dgdaemon.Flags{Settings: "none.ini"}, "none.ini"},
+		"bad log level": {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), LogLevel: "loud"}, `"loud"`},
+		"bad address":   {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), CallerListen: "nowhere"}, `"nowhere"`},
+		"bad VM":        {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), VM: "a # b"}, "flags"},
+		"bad zone":      {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), Zone: "a\nlog level = info"}, "flags"},
+		"bad platform":  {dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), Platform: "nowhere"}, `"nowhere"`},
+	} {
+		for _, check := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, check %t", name, check), func(t *testing.T) {
+				g := NewWithT(t)
+				var out, errOut output
+				stop := make(chan os.Signal, 1)
+				stop <- os.Interrupt
+				c.flags.CheckOnly = check
+				g.Expect(dgdaemon.Main(&c.flags, &out, &errOut, stop)).To(Equal(dgdaemon.ExitUsage), out.String())
+				g.Expect(errOut.String()).To(ContainSubstring(c.says))
+			})
+		}
+	}
+}
+
+// Guards against --check with a fault that is none.
+func TestCheckOfGoodSettings(t *testing.T) {
+	g := NewWithT(t)
+	var out, errOut output
+	f := dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), CheckOnly: true}
+	g.Expect(dgdaemon.Main(&f, &out, &errOut, nil)).To(Equal(dgdaemon.ExitOK))
+	g.Expect(out.String()).To(Equal(f.Settings + ": no fault\n"))
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against flags that do not take precedence over the settings, and a stop
+// by a signal that ends as failed.
+func TestFlagsOverSettings(t *testing.T) {
+	g := NewWithT(t)
+	platform, err := dgstandin.NewPlatform(dgstandin.PlatformOptions{})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer platform.Close()
+	f := dgdaemon.Flags{
+		Settings:     settings(t, "127.0.0.1:3"),
+		VM:           "entry-7",
+		Zone:         "zone-c",
+		CallerListen: freeAddress(t),
+		PeerListen:   freeAddress(t),
+		Platform:     platform.Address(),
+		LogLevel:     "info",
+	}
+	var out, errOut output
+	stop := make(chan os.Signal, 1)
+	code := make(chan int, 1)
+	go func() { code <- dgdaemon.Main(&f, &out, &errOut, stop) }()
+	g.Eventually(func() string {
+		obj, _ := platform.Object("state/members")
+		return string(obj.Body)
+	}, patience).Should(And(ContainSubstring("entry-7"), ContainSubstring("zone-c"), ContainSubstring(f.CallerListen), ContainSubstring(f.PeerListen)))
+	stop <- os.Interrupt
+	g.Eventually(code, patience).Should(Receive(Equal(dgdaemon.ExitOK)), errOut.String())
+	g.Expect(out.String()).To(ContainSubstring(`"VM":"entry-7"`))
+}
+
+// Guards against a daemon that hides that its port is taken.
+func TestTakenPort(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	f := dgdaemon.Flags{Settings: settings(t, "127.0.0.1:3"), CallerListen: l.Addr().String(), PeerListen: freeAddress(t)}
+	var out, errOut output
+	g.Expect(dgdaemon.Main(&f, &out, &errOut, nil)).To(Equal(dgdaemon.ExitFailed))
+	g.Expect(out.String()).To(ContainSubstring("address already in use"))
+}
