--- a/dgcommand/command_test.go
+++ b/dgcommand/command_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -97,6 +98,27 @@
 	g.Expect(code).To(Equal(dgcommand.ExitUsage))
 }
 
+// silent returns the address of a server that reads a request and hangs up
+// without an answer.
+func silent(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // Guards against commands whose exit codes and output do not say what the tier
 // answered.
 func TestCommandsAgainstACluster(t *testing.T) {
@@ -134,7 +156,9 @@
 	expect(dgcommand.ExitOK, with(operator, "apply", "--wait", "1m", changed), "accepted as version ", "entry-1", "entry-2")
 	expect(dgcommand.ExitConflict, with(operator, "apply", "--if-version", fmt.Sprint(shown.Version), changed), fmt.Sprintf("based on version %d", shown.Version))
 	g.Expect(expect(dgcommand.ExitOK, with(operator, "show"))).To(HavePrefix("# changed\n"))
-	expect(dgcommand.ExitUnreachable, []string{"show", "--address", "127.0.0.1:1", "--token-file", token})
+	// A refused connection is certain: the call did not run. Without an answer the outcome is unknown.
+	expect(dgcommand.ExitFailed, []string{"apply", "--if-version", "1", "--address", "127.0.0.1:1", "--token-file", token, changed}, "not run")
+	expect(dgcommand.ExitUnreachable, []string{"apply", "--if-version", "1", "--address", silent(t), "--token-file", token, changed}, "unreachable")
 
 	t.Log("status and zones")
 	expect(dgcommand.ExitOK, with(operator, "status", "--all"), "entry-1", "entry-2", "search-1/1", "dispatch-1/2")
