Throttle by lost parts and time in queues, not by whole searches

Cause: R17 counted a search with one refused shard like one with ten, and took late answers for overload. A group whose servers are slow without queues would have been refused as well.

R17 now counts the share of parts that overload cuts off, at once, and the part of the answers' latency that the queue lengths in the marks explain.

--- a/dgfanout/doc.go
+++ b/dgfanout/doc.go
@@ -55,12 +55,12 @@
 //	R15 Hang-up: if the caller disconnects, every open attempt is cancelled.
 //	R16 Plain: the baseline policy picks a random replica, waits for a fixed
 //	    timeout, and neither hedges nor retries.
-//	R17 Throttle: a search is not run if more searches of its group and class
-//	    start than are answered in full because overload cuts some short, or
-//	    because full answers take more than a share of their time. The share of
-//	    searches that are refused follows from both counts. The owners refuse
-//	    independently of each other: without this rule nearly every search under
-//	    overload gets a few of its shards and none gets all. While the rule
+//	R17 Throttle: a share of the searches of a group and class is not run while
+//	    overload cuts off more of their parts than a few, or while their shards
+//	    wait in queues for more than a share of their time on average. The owners
+//	    refuse independently of each other: without this rule nearly every search
+//	    under overload gets most of its shards and none gets all. One overloaded
+//	    shard of many leads to partial answers, not to refusals. While the rule
 //	    refuses searches, none of the group and class is hedged.
 //
 // Outcome: a query without the required coverage is "not run" only if every
--- a/dgfanout/query.go
+++ b/dgfanout/query.go
@@ -89,6 +89,7 @@
 	try
 	throttle   *throttle // of a search that is not plain
 	overloaded bool      // a shard failed because of overload
+	waited     float64   // ns in queues, estimated, sum over the merged shards
 	earlier    *try      // the first try, after R9
 	tries      uint32
 	sent       int // attempts of all tries
@@ -235,7 +236,7 @@
 		t.reach -= s.shards[i].sole
 		t.pending--
 		q.reason = why.reason
-		q.overload(now, why.reason)
+		q.overload(now, len(s.shards[i].parts), s.parts, why.reason)
 		q.retryAfter = max(q.retryAfter, why.wait)
 	}
 	if q.req.Action && len(t.attempts) == 0 {
@@ -500,6 +501,7 @@
 	s := &q.shards[i]
 	s.state, s.due = shardMerged, never
 	q.pending--
+	q.waited += queueShare(ans.Mark) * float64(now.Sub(q.start))
 	if s.open > 0 {
 		for k := s.last; k >= 0; k = q.attempts[k].prev {
 			if a := &q.attempts[k]; a.open {
@@ -594,7 +596,7 @@
 	s := &q.shards[i]
 	s.state, s.due = shardFailed, never
 	q.reason = s.reason
-	q.overload(now, s.reason)
+	q.overload(now, len(q.snapshot.shards[i].parts), q.snapshot.parts, s.reason)
 	q.pending--
 	q.reach -= q.snapshot.shards[i].sole
 	if s.reason == dandeliongap.ReasonVersionGone && !q.req.Action {
@@ -772,20 +774,29 @@
 	return p.cancelAll(now, q, rule, dst)
 }
 
-// overload tells the throttle at once that overload cuts the query short.
-func (q *Query) overload(now dandeliongap.Instant, r dandeliongap.Reason) {
-	if q.throttle != nil && !q.overloaded && isOverload(r) {
+// overload tells the throttle at once that overload cuts off a shard.
+func (q *Query) overload(now dandeliongap.Instant, parts, total int, r dandeliongap.Reason) {
+	if q.throttle != nil && isOverload(r) {
 		q.overloaded = true
-		q.throttle.cut(now)
+		q.throttle.cut(now, float64(parts)/float64(total))
 	}
 }
 
-// report tells the throttle that the query ended, if it was answered in full.
-// Failures other than overload say nothing about the load.
+// report tells the throttle how the query ended, if it was answered in full or
+// overload prevented that. Other failures say nothing about the load.
 func (q *Query) report(now dandeliongap.Instant) {
-	if q.throttle != nil && !q.overloaded && q.merged == q.snapshot.parts {
-		q.throttle.answered(now, float64(now.Sub(q.start))/float64(q.cut.Sub(q.start)))
+	if q.throttle == nil || q.merged != q.snapshot.parts && !q.overloaded {
+		return
 	}
+	wait := q.waited / float64(max(len(q.accepted), 1)) / float64(q.cut.Sub(q.start))
+	q.throttle.end(now, q.coverage(), wait)
+}
+
+// queueShare estimates the share of an answer's latency that it waited in the
+// owner's queue, by the length of the queue when it left.
+func queueShare(m dandeliongap.Mark) float64 {
+	rounds := float64(m.Queued) / float64(max(m.Limit, 1))
+	return rounds / (1 + rounds)
 }
 
 func isOverload(r dandeliongap.Reason) bool {
--- a/dgfanout/rules_test.go
+++ b/dgfanout/rules_test.go
@@ -239,6 +239,38 @@
 		Entry("failure other than overload", dg.SubUnknown, dg.ReasonBroken, dg.ClassOrdinary, 20*time.Millisecond, false),
 	)
 
+	DescribeTable("R17 tells overload of the group from other trouble (guards against whole searches refused without need)",
+		func(refused int, took time.Duration, m dg.Mark, throttles bool) {
+			r := newRig(newView(20, 2)).warm(10 * time.Millisecond)
+			whole := 0
+			for range 40 {
+				var acts []dgfanout.Action
+				for range 10 {
+					first := r.start(dgfanout.Request{})
+					if first[0].Rule == dgfanout.RuleThrottle {
+						whole++
+					}
+					acts = append(acts, sends(first)...)
+				}
+				r.now = r.now.Add(took)
+				for ; len(acts) > 0; acts = acts[1:] {
+					if int(acts[0].ID.Shard) < refused {
+						acts = append(acts, sends(r.refuse(acts[0], dg.SubNotRun, dg.ReasonOverload))...)
+						continue
+					}
+					ans := r.ok(acts[0])
+					ans.Mark = m
+					r.answer(ans)
+				}
+			}
+			Expect(whole > 0).To(Equal(throttles), "%d searches refused", whole)
+		},
+		Entry("one shard of 20 refuses", 1, 10*time.Millisecond, dg.Mark{Limit: 3, Busy: 3}, false),
+		Entry("half of the shards refuse", 10, 10*time.Millisecond, dg.Mark{Limit: 3, Busy: 3}, true),
+		Entry("slow servers without queues", 0, 200*time.Millisecond, dg.Mark{Limit: 3, Busy: 3}, false),
+		Entry("long queues", 0, 200*time.Millisecond, dg.Mark{Limit: 3, Busy: 3, Queued: 60}, true),
+	)
+
 	It("R7 retries at another replica, at most three attempts (guards against lost shards and endless retries)", func() {
 		r := newRig(newView(1, 5)).warm(10 * time.Millisecond)
 		seen := map[dg.ReplicaID]bool{}
--- a/dgfanout/throttle.go
+++ b/dgfanout/throttle.go
@@ -12,22 +12,23 @@
 const (
 	throttleWindow = 250 * time.Millisecond // time constant of the counts
 	// throttleRoom is the share by which more searches may start than were
-	// answered in full while answers come early. It falls to 0 when they take
-	// throttleTarget of their time, and below for later ones. Without it the
-	// queues grew to the bounds of the owners and the throttle swung between
-	// too many searches and too few.
+	// answered while their shards wait little. It falls to 0 when the shards wait
+	// throttleTarget of the time on average, and below for longer waits. Without
+	// it the queues grew to the bounds of the owners and the throttle swung
+	// between too many searches and too few.
 	throttleRoom   = 0.15
-	throttleTarget = 0.35
-	throttleWeight = 0.1 // of one search in the recent latency
+	throttleTarget = 0.06
+	throttleWeight = 0.1 // of one search in the recent wait
 	// throttleFree is a number of searches in the window that may always start.
 	throttleFree = 1
 )
 
-// throttle holds what became of the recent searches of one group and class.
+// throttle holds what became of the recent searches of one group and class. It
+// counts parts of searches: one that merged 19 of 20 parts counts 0.95.
 type throttle struct {
-	started float64 // with the ones that R17 refused
-	full    float64 // answered with all parts
-	latency float64 // recent, of searches answered in full, as a share of their time
+	started float64 // merged, cut off by overload or refused by R17
+	merged  float64
+	wait    float64 // recent mean wait of their shards in queues, as a share of their time
 	at      dandeliongap.Instant
 }
 
@@ -35,14 +36,14 @@
 func (t *throttle) fade(now dandeliongap.Instant) {
 	kept := math.Exp(-float64(now.Sub(t.at)) / float64(throttleWindow))
 	t.started *= kept
-	t.full *= kept
+	t.merged *= kept
 	t.at = now
 }
 
 // share returns the share of searches to refuse.
 func (t *throttle) share() float64 {
-	room := throttleRoom * max(-1, 1-t.latency/throttleTarget)
-	return max(0, 1-((1+room)*t.full+throttleFree)/max(t.started, 1))
+	room := throttleRoom * max(-1, 1-t.wait/throttleTarget)
+	return max(0, 1-((1+room)*t.merged+throttleFree)/max(t.started, 1))
 }
 
 // refuses reports whether R17 refuses a search that arrives now.
@@ -56,17 +57,19 @@
 	return true
 }
 
-// answered counts a search that was answered in full after the given share of its
-// time.
-func (t *throttle) answered(now dandeliongap.Instant, latency float64) {
+// cut counts the share of a search that overload cuts off, as soon as it is known.
+func (t *throttle) cut(now dandeliongap.Instant, share float64) {
 	t.fade(now)
-	t.started++
-	t.full++
-	t.latency += (latency - t.latency) * throttleWeight
+	t.started += share
 }
 
-// cut counts a search that overload cuts short.
-func (t *throttle) cut(now dandeliongap.Instant) {
+// end counts what a search merged, and the time that its shards waited in queues
+// on average as a share of the time of the search. One overloaded shard of 20
+// changes both little: its group goes on with partial answers. Slow servers
+// without queues do not change the wait.
+func (t *throttle) end(now dandeliongap.Instant, coverage, wait float64) {
 	t.fade(now)
-	t.started++
+	t.started += coverage
+	t.merged += coverage
+	t.wait += (wait - t.wait) * throttleWeight
 }
