--- a/dgtrial/session.go
+++ b/dgtrial/session.go
@@ -1,7 +1,9 @@
 package dgtrial
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	dandeliongap "dandeliongap.example/dandeliongap"
@@ -26,8 +28,11 @@
 		return err
 	}
 	s := newSim(t.Deployment, b.group, b.at(spareLoad, sessionWarmUp), t.ZoneDelay, seed)
-	if t.Deployment.Services[straggler] == nil || s.sites[lost] == nil {
-		return dandeliongap.ErrNotFound
+	if !slices.Contains(b.group.Leaves, straggler) {
+		return fmt.Errorf("leaf service %q: %w", straggler, dandeliongap.ErrNotFound)
+	}
+	if s.sites[lost] == nil {
+		return fmt.Errorf("replica %q: %w", lost, dandeliongap.ErrNotFound)
 	}
 	s.at(dandeliongap.Instant(sessionSearch), func() {
 		s.out = out
--- a/dgtrial/trial_test.go
+++ b/dgtrial/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -55,6 +56,7 @@
 
 // check runs one case for each deployment and fails for each missed target.
 func check(t *testing.T, name string) {
+	t.Parallel()
 	for _, target := range targets() {
 		t.Run(target.Deployment.Name, func(t *testing.T) {
 			t.Parallel()
@@ -78,12 +80,40 @@
 	}
 }
 
+// TestSameSeed guards against figures that differ between runs with one seed.
+func TestSameSeed(t *testing.T) {
+	t.Parallel()
+	var out [2]bytes.Buffer
+	for i := range out {
+		r, err := dgtrial.Run(dgtrial.Options{Targets: targets()[:1], Cases: []string{"zone"}, Seed: 7, SkipPlain: true})
+		if err != nil || r.PrintJSON(&out[i]) != nil {
+			t.Fatal(err)
+		}
+	}
+	if out[0].String() != out[1].String() {
+		t.Errorf("two runs with one seed:\n%s%s", out[0].String(), out[1].String())
+	}
+}
+
+// TestUnknownNames guards against a measurement that leaves out what it was asked
+// for.
+func TestUnknownNames(t *testing.T) {
+	for _, o := range []dgtrial.Options{
+		{Targets: targets(), Cases: []string{"none"}},
+		{Targets: []dgtrial.Target{{Deployment: deployment("none", 3, 1), Group: "none"}}},
+	} {
+		if _, err := dgtrial.Run(o); !errors.Is(err, dg.ErrNotFound) {
+			t.Errorf("error is %v", err)
+		}
+	}
+}
+
 // Each test guards one row of the targets of the design.
 
-func TestStraggler(t *testing.T)     { t.Parallel(); check(t, "straggler") }
-func TestReplicaLost(t *testing.T)   { t.Parallel(); check(t, "replica-lost") }
-func TestReplicaSilent(t *testing.T) { t.Parallel(); check(t, "replica-silent") }
-func TestShardLost(t *testing.T)     { t.Parallel(); check(t, "shard-lost") }
-func TestOverload(t *testing.T)      { t.Parallel(); check(t, "overload") }
-func TestCold(t *testing.T)          { t.Parallel(); check(t, "cold") }
-func TestZone(t *testing.T)          { t.Parallel(); check(t, "zone") }
+func TestStraggler(t *testing.T)     { check(t, "straggler") }
+func TestReplicaLost(t *testing.T)   { check(t, "replica-lost") }
+func TestReplicaSilent(t *testing.T) { check(t, "replica-silent") }
+func TestShardLost(t *testing.T)     { check(t, "shard-lost") }
+func TestOverload(t *testing.T)      { check(t, "overload") }
+func TestCold(t *testing.T)          { check(t, "cold") }
+func TestZone(t *testing.T)          { check(t, "zone") }
