Match the capacity model to the daemon

Only answers carry contact vectors, one pull of newer objects is under way at a time, the placement is planned for 3 s after an adopted object or while a change is pending, and each VM reads the VM list about every 30 s. The turn to write the table is dgmember's MayWrite instead of a copy of it.

Idle VMs are measured for 60 s, as two reads of the VM list are up to 45 s apart.

--- a/dgcapacity/cluster.go
+++ b/dgcapacity/cluster.go
@@ -39,8 +39,7 @@
 type traffic struct {
 	messages         int
 	headers          int
-	requestContacts  int // contact vectors in requests
-	replyContacts    int
+	contacts         int // contact vectors
 	digest           int
 	members          int // relayed objects
 	placement        int
@@ -57,8 +56,7 @@
 func (t traffic) minus(o traffic) traffic {
 	t.messages -= o.messages
 	t.headers -= o.headers
-	t.requestContacts -= o.requestContacts
-	t.replyContacts -= o.replyContacts
+	t.contacts -= o.contacts
 	t.digest -= o.digest
 	t.members -= o.members
 	t.placement -= o.placement
@@ -166,7 +164,7 @@
 		PeerAddress:   address + ":8081",
 		State:         dandeliongap.MemberLive,
 	}
-	n := &node{c: c, self: self, rng: rand.New(rand.NewPCG(c.rng.Uint64(), c.rng.Uint64())), pulling: map[dandeliongap.MemberID]bool{}}
+	n := &node{c: c, self: self, rng: rand.New(rand.NewPCG(c.rng.Uint64(), c.rng.Uint64()))}
 	c.byID[self.ID] = n
 	return n
 }
--- a/dgcapacity/control.go
+++ b/dgcapacity/control.go
@@ -217,7 +217,7 @@
 	}
 	size, kept := heapOf(func() held {
 		alone := &cluster{store: newStore(), shared: newShared(), adopted: map[dandeliongap.Version]int{}, rng: rand.New(rand.NewPCG(1, 1))}
-		n := &node{c: alone, self: self, rng: alone.rng, pulling: map[dandeliongap.MemberID]bool{}}
+		n := &node{c: alone, self: self, rng: alone.rng}
 		n.member = dgmember.New(0, self, n.rng)
 		n.relay = dgrelay.NewRelay(0, self.ID, func(dandeliongap.MemberID) bool { return true })
 		n.holdings = dgplacement.NewHoldings(self.ID, n.rng)
@@ -243,8 +243,7 @@
 	m.add("idle: control bytes sent", "B/s per VM", perVM(t.sent))
 	m.add("idle: control bytes received", "B/s per VM", perVM(t.received))
 	m.add("idle: control bytes sent and received", "B/s per VM", m.bytes).Budget = BudgetBytes
-	m.add("idle: of sent: contact vectors in requests", "B/s per VM", perVM(t.requestContacts))
-	m.add("idle: of sent: contact vectors in replies", "B/s per VM", perVM(t.replyContacts))
+	m.add("idle: of sent: contact vectors", "B/s per VM", perVM(t.contacts))
 	m.add("idle: of sent: digests", "B/s per VM", perVM(t.digest))
 	m.add("idle: of sent: HTTP headers", "B/s per VM", perVM(t.headers))
 	m.add("idle: of sent: other fields", "B/s per VM", perVM(t.other))
@@ -345,7 +344,7 @@
 	m.add(what+": bytes sent and received", "B per VM", e.bytes)
 	m.add(what+": messages sent", "count per VM", e.messages)
 	m.add(what+": processor time without plans", "ms per VM", e.processor.Seconds()*1e3)
-	m.add(what+": platform calls other than lease renewals", "count in all", float64(e.calls.total()-e.calls[callWriteLease]))
+	m.add(what+": platform calls other than periodic ones", "count in all", float64(e.calls.total()-e.calls[callWriteLease]-e.calls[callReadVMs]))
 	m.add(what+": state writes", "count in all", float64(e.calls[callWriteState]))
 	each := n * float64(m.count(what))
 	m.add(what+": of sent: deployment texts", "B per VM", float64(t.deployment)/each)
--- a/dgcapacity/derive.go
+++ b/dgcapacity/derive.go
@@ -83,18 +83,23 @@
 func (r *Report) deriveControl(add func(quantity, unit string, value float64, from string, budget float64)) {
 	value := func(quantity string) float64 { return r.at(quantity, TargetMembers) }
 	idle := value("idle: control bytes sent and received")
-	contacts := 2 * value("idle: of sent: contact vectors in requests")
+	contacts := 2 * value("idle: of sent: contact vectors")
+	headers := 2 * value("idle: of sent: HTTP headers")
+	digests := 2 * value("idle: of sent: digests")
 	change := value("a change: bytes sent and received at the target's rate")
 	replaced := value("a replaced VM: bytes sent and received at the target's rate")
 	total := idle + change + replaced
 	add("control traffic, sent and received", "B/s", total, "idle + changes + replaced VMs", BudgetBytes)
 	add("control traffic, sent only", "B/s", total/2, "half of it", BudgetBytes)
 	add("of it: idle", "B/s", idle, "row at 610 members", 0)
-	add("of it: contact vectors in requests, which no rule reads", "B/s", contacts, "row at 610 members, sent and received", 0)
+	add("of it: contact vectors while idle", "B/s", contacts, "row at 610 members, sent and received", 0)
+	add("of it: HTTP headers while idle", "B/s", headers, "row at 610 members, sent and received", 0)
+	add("of it: digests while idle", "B/s", digests, "row at 610 members, sent and received", 0)
 	add("of it: changes", "B/s", change, "bytes of a change x 1,800 / 86,400 s", 0)
 	add("of it: replaced VMs", "B/s", replaced, "bytes of a replaced VM x 980 / 86,400 s", 0)
 	add("control processor time", "% of a core", value("all control: processor time"), "row at 610 members", BudgetCore)
 	add("of it: plans while nothing changes", "% of a core", value("idle: processor time of placement plans"), "row at 610 members", 0)
-	perDay := value("a change: platform calls other than lease renewals")*TargetChanges + value("a replaced VM: platform calls other than lease renewals")*TargetMemberChanges
+	perDay := value("a change: platform calls other than periodic ones")*TargetChanges +
+		value("a replaced VM: platform calls other than periodic ones")*TargetMemberChanges
 	add("platform calls of all VMs", "1/s", value("idle: platform calls")+perDay/secondsPerDay, "idle + changes + replaced VMs", 0)
 }
--- a/dgcapacity/doc.go
+++ b/dgcapacity/doc.go
@@ -4,7 +4,7 @@
 //
 //   - S1: The driver of each VM handles events in the same order and at the same
 //     times as the control goroutine of dgnode, including a look at the
-//     placement every 250 ms.
+//     placement every 250 ms for 3 s after an adopted object.
 //   - S2: A message counts the bytes of its protobuf encoding plus the HTTP
 //     headers of a twirp call. TCP and IP headers are not counted.
 //   - S3: Work that every VM does on the same bytes (reading a deployment text,
--- a/dgcapacity/exchange.go
+++ b/dgcapacity/exchange.go
@@ -24,14 +24,10 @@
 }
 
 // countFields counts the bytes of an exchange message by field.
-func (c *cluster) countFields(m *dgwire.ExchangeMessage, request bool) {
+func (c *cluster) countFields(m *dgwire.ExchangeMessage) {
 	t := &c.traffic
 	contacts := proto.Size(&dgwire.ExchangeMessage{Contacts: m.GetContacts()})
-	if request {
-		t.requestContacts += contacts
-	} else {
-		t.replyContacts += contacts
-	}
+	t.contacts += contacts
 	digest := proto.Size(&dgwire.ExchangeMessage{Digest: m.GetDigest()})
 	t.digest += digest
 	objects := 0
@@ -98,7 +94,7 @@
 	lostReply := !lostRequest && c.rng.Float64() < c.loss/2/(1-c.loss/2)
 	fail := func() { n.post(func() { done(nil) }) }
 	request := n.message(nil)
-	c.countFields(request, true)
+	c.countFields(request)
 	body := encode(request)
 	c.count(len(body), RequestHeaderBytes, !lostRequest)
 	if lostRequest {
@@ -133,7 +129,7 @@
 func (n *node) serve(m *dgwire.ExchangeMessage) []byte {
 	reply := n.message(m)
 	n.heard(m)
-	n.c.countFields(reply, false)
+	n.c.countFields(reply)
 	return encode(reply)
 }
 
@@ -157,11 +153,9 @@
 // than the other side's digest.
 func (n *node) message(other *dgwire.ExchangeMessage) *dgwire.ExchangeMessage {
 	now := n.c.now
-	v := n.member.Vector(now, nil)
 	m := &dgwire.ExchangeMessage{
 		FromMember:      string(n.self.ID),
 		ReachesPlatform: n.member.ReachesPlatform(now),
-		Contacts:        &dgwire.ContactVector{MembersVersion: uint64(v.Version), Ages: v.Ages},
 	}
 	for _, o := range n.set.Digest() {
 		m.Digest = append(m.Digest, &dgwire.ObjectVersion{Name: string(o.Name), Version: uint64(o.Version)})
@@ -172,6 +166,8 @@
 	if other == nil {
 		return m
 	}
+	v := n.member.Vector(now, nil)
+	m.Contacts = &dgwire.ContactVector{MembersVersion: uint64(v.Version), Ages: v.Ages}
 	for _, obj := range n.set.Newer(digestOf(other), dgrelay.MessageBytes) {
 		body, err := n.c.compress(obj)
 		if err != nil {
@@ -222,31 +218,21 @@
 }
 
 // pull starts an exchange with a member whose digest is newer than what this VM
-// holds.
+// holds. One such exchange is under way at a time, as in dgnode.
 func (n *node) pull(m *dgwire.ExchangeMessage) {
 	id := dandeliongap.MemberID(m.GetFromMember())
 	to := n.c.byID[id]
-	if to == nil || to == n || n.pulling[id] || !n.behind(m) {
+	if to == nil || to == n || n.pulling || !n.set.Behind(digestOf(m)) {
 		return
 	}
 	if _, joining := m.GetJoining().Value(); !n.listed[id] && !joining {
 		return
 	}
-	n.pulling[id] = true
+	n.pulling = true
 	n.send(to, func(reply *dgwire.ExchangeMessage) {
-		delete(n.pulling, id)
+		n.pulling = false
 		if reply != nil {
 			n.heard(reply)
 		}
 	})
 }
-
-func (n *node) behind(m *dgwire.ExchangeMessage) bool {
-	for _, o := range m.GetDigest() {
-		obj, ok := n.set.Get(dandeliongap.ObjectName(o.GetName()))
-		if !ok || obj.Version < dandeliongap.Version(o.GetVersion()) {
-			return true
-		}
-	}
-	return false
-}
--- a/dgcapacity/node.go
+++ b/dgcapacity/node.go
@@ -13,9 +13,10 @@
 
 // Times of the control goroutine of dgnode.
 const (
-	idleTick  = 250 * time.Millisecond
-	planEvery = 250 * time.Millisecond
-	rankStep  = time.Second
+	idleTick    = 250 * time.Millisecond
+	planEvery   = 250 * time.Millisecond
+	planFor     = dgplacement.SettleTime + time.Second
+	vmListEvery = 30 * time.Second
 )
 
 // state is what the relayed objects say, as one VM has put it in force.
@@ -37,16 +38,18 @@
 	moves    dgplacement.Moves
 	state    state
 	listed   map[dandeliongap.MemberID]bool
-	pulling  map[dandeliongap.MemberID]bool
 
 	memberActions  []dgmember.Action
 	relayActions   []dgrelay.Action
 	holdingActions []dgplacement.Action
 
 	dirty     bool
+	pulling   bool
 	planning  bool
 	planDue   dandeliongap.Instant
+	planUntil dandeliongap.Instant // no change of the placement is possible later
 	planSince dandeliongap.Instant
+	nextVMs   dandeliongap.Instant
 	wake      dandeliongap.Instant // of the newest timer
 	leaving   bool
 	down      bool
@@ -83,6 +86,7 @@
 	n.holdingActions = n.holdings.Tick(now, n.holdingActions)
 	n.perform()
 	n.plan()
+	n.readVMList()
 	n.member.Rights(now)
 	if n.dirty {
 		n.dirty = false
@@ -197,7 +201,7 @@
 	n.c.adopted[obj.Version]++
 	n.c.lastAdopted = n.c.now
 	n.relayActions = n.relay.Adopted(n.rng, n.relayActions)
-	n.planDue = n.c.now
+	n.planDue, n.planUntil = n.c.now, n.c.now.Add(planFor)
 	n.dirty = true
 }
 
@@ -234,14 +238,25 @@
 	return obj.Version
 }
 
+// readVMList reads the platform's VM list when it is due. No VM of this package
+// is listed as leaving.
+func (n *node) readVMList() {
+	if n.c.now < n.nextVMs {
+		return
+	}
+	n.nextVMs = n.c.now.Add(vmListEvery/2 + time.Duration(n.rng.Int64N(int64(vmListEvery))))
+	n.platform(func() { n.c.store.calls[callReadVMs]++ }, func() {})
+}
+
 // plan writes the placement table when it has to change and it is this VM's
 // turn.
 func (n *node) plan() {
 	now := n.c.now
-	if n.planning || now < n.planDue || n.state.deployment == nil || !n.member.Listed() {
+	if n.state.deployment == nil || !n.member.Listed() || !n.member.ReachesPlatform(now) {
+		n.planUntil = now.Add(planFor)
 		return
 	}
-	if _, ok := n.member.Rights(now); !ok || !n.member.ReachesPlatform(now) {
+	if n.planning || now < n.planDue || now > n.planUntil && n.planSince == 0 {
 		return
 	}
 	n.planDue = now.Add(planEvery)
@@ -254,7 +269,7 @@
 	if n.planSince == 0 {
 		n.planSince = now
 	}
-	if now < n.planSince.Add(time.Duration(n.rank())*rankStep) {
+	if !n.member.MayWrite(now, n.planSince) {
 		return
 	}
 	n.writeTable(in, p.rows)
@@ -272,20 +287,6 @@
 	}
 }
 
-// rank counts the members of lower rank that this VM hears of.
-func (n *node) rank() int {
-	lower := 0
-	for _, m := range n.state.list.Members {
-		if m.ID == n.self.ID {
-			break
-		}
-		if n.member.Heard(n.c.now, m.ID) {
-			lower++
-		}
-	}
-	return lower
-}
-
 func (n *node) writeTable(in dgplacement.Input, rows []dandeliongap.Placement) {
 	body, err := dgrelay.EncodeTable(dgrelay.Table{Rows: rows, Members: in.MembersVersion, Config: in.Config, Write: n.writeID()})
 	if err != nil {
--- a/dgcapacity/options.go
+++ b/dgcapacity/options.go
@@ -50,8 +50,8 @@
 	Shards []int
 	// Batch are the numbers of items in one message. Default: 1 to 512.
 	Batch []int
-	// Idle is the virtual time over which idle VMs are measured. Default 30 s,
-	// which is the longest time between two calls of one kind.
+	// Idle is the virtual time over which idle VMs are measured. Default 60 s:
+	// the longest time between two calls of one kind is 45 s.
 	Idle time.Duration
 	// Changes is the number of configuration changes of which the time until
 	// they are in force is measured, for each size and failure rate. Up to 50 members it is ten times
@@ -70,10 +70,10 @@
 
 func (o Options) withDefaults() Options {
 	members, shards, batch := []int{6, 50, 100, 200, 610}, []int{20, 50, 100, 200, 400, 650}, []int{1, 2, 8, 64, 512}
-	idle, changes, timing := 30*time.Second, 3, 100*time.Millisecond
+	idle, changes, timing := 60*time.Second, 3, 100*time.Millisecond
 	if o.Quick {
 		members, shards, batch = []int{6, 12, 24}, []int{20, 100}, []int{1, 8, 64}
-		idle, changes, timing = 30*time.Second, 1, 5*time.Millisecond
+		idle, changes, timing = 60*time.Second, 1, 5*time.Millisecond
 	}
 	if len(o.Members) == 0 {
 		o.Members = members
--- a/dgcapacity/store.go
+++ b/dgcapacity/store.go
@@ -18,10 +18,11 @@
 	callWriteState
 	callList
 	callWatch
+	callReadVMs
 	callCount
 )
 
-var callNames = [callCount]string{"lease writes", "lease deletions", "lease reads", "state writes", "list reads", "watches"}
+var callNames = [callCount]string{"lease writes", "lease deletions", "lease reads", "state writes", "list reads", "watches", "VM list reads"}
 
 // calls counts platform calls by kind.
 type calls [callCount]int
