Measure the real gate and the decision lines

The measurement took any gate and reported none for the stub. dggate is implemented, so it drives dggate.Gate as dgnode does, with a mark for each action and answer, and fails if the gate does not fill its slots or refuses. The test with a stand-in of a gate is replaced by one that asks for the rows of the real gate and of the two decision lines at every size.

--- a/dgcapacity/capacity_test.go
+++ b/dgcapacity/capacity_test.go
@@ -12,9 +12,7 @@
 	"testing"
 	"time"
 
-	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgcapacity"
-	"dandeliongap.example/dandeliongap/dggate"
 	"dandeliongap.example/dandeliongap/dgrelay"
 	"dandeliongap.example/dandeliongap/dgwire"
 )
@@ -149,49 +147,21 @@
 	return strings.HasPrefix(unit, "us") || strings.HasPrefix(unit, "ms") || strings.HasPrefix(unit, "%") || strings.HasSuffix(unit, "B") && len(unit) == 2
 }
 
-// queueGate dispatches up to its slots and queues the rest.
-type queueGate struct {
-	slots, running int
-	queue          []dandeliongap.SubID
-}
-
-func (g *queueGate) Configure(r dandeliongap.Replica)   { g.slots = int(r.Slots) }
-func (g *queueGate) RightsUntil(_ dandeliongap.Instant) {}
-
-func (g *queueGate) Grant(_ dandeliongap.Instant, _ dandeliongap.Epoch, _ dggate.Handover, dst []dggate.Action) []dggate.Action {
-	return dst
-}
-
-func (g *queueGate) Offer(_ dandeliongap.Instant, r dggate.Request, dst []dggate.Action) []dggate.Action {
-	g.queue = append(g.queue, r.ID)
-	return g.dispatch(dst)
-}
-
-func (g *queueGate) Done(_ dandeliongap.Instant, _ dandeliongap.SubID, _ dggate.Result, dst []dggate.Action) []dggate.Action {
-	g.running--
-	return g.dispatch(dst)
-}
-
-func (g *queueGate) dispatch(dst []dggate.Action) []dggate.Action {
-	for g.running < g.slots && len(g.queue) > 0 {
-		dst = append(dst, dggate.Action{Kind: dggate.Dispatch, ID: g.queue[0]})
-		g.queue = append(g.queue[:0], g.queue[1:]...)
-		g.running++
-	}
-	return dst
-}
-
-// Guards against a gate that dispatches and is still left out of the report.
-func TestGateIsMeasured(t *testing.T) {
-	r, err := dgcapacity.Run(context.Background(), dgcapacity.Options{
-		Members: []int{6}, Shards: []int{20}, Batch: []int{1, 2}, Idle: time.Second, Changes: 1, Timing: time.Millisecond,
-		NewGate: func() dgcapacity.Gate { return &queueGate{} },
-	}, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if row := r.Row("gate decisions per sub-request"); row == nil || len(row.Points) < 2 || row.Note != "" {
-		t.Errorf("gate row %+v", row)
+// Guards against a gate and decision lines that are left out of the report.
+func TestGateAndDecisionLinesAreMeasured(t *testing.T) {
+	for quantity, sizes := range map[string]int{
+		"gate decisions per sub-request":  4,
+		"routing line of one sub-request": 1, "admission line of one sub-request": 1,
+	} {
+		got := points(t, quantity)
+		if len(got) != sizes {
+			t.Errorf("%s: %d sizes, not %d", quantity, len(got), sizes)
+		}
+		for _, p := range got {
+			if p.Value <= 0 {
+				t.Errorf("%s: %v at %d", quantity, p.Value, p.Size)
+			}
+		}
 	}
 }
 
--- a/dgcapacity/derive.go
+++ b/dgcapacity/derive.go
@@ -53,6 +53,7 @@
 	decide := r.at("fan-out decisions of one query", TargetShards) / TargetShards
 	parse := r.at("parse the body of one sub-answer", hitCount)
 	merge := r.at("merge of one query", TargetShards) / TargetShards
+	routing := r.at(routingQuantity, 1)
 	submit := r.perItem("Submit call of twirp without sockets", items)
 	deliver := r.perItem("Deliver call of twirp without sockets", items)
 	add("fan-out decisions", "us per sub-request", decide, "row at 650 shards / 650", 0)
@@ -60,14 +61,14 @@
 	add("merge", "us per sub-request", merge, "row at 650 shards / 650", 0)
 	add("Submit call without sockets, both ends", "us per sub-request", submit, "rows at 1 and 2 items", 0)
 	add("Deliver call without sockets, both ends", "us per sub-request", deliver, "rows at 1 and 2 items", 0)
-	add("entry VM, without sockets", "us per sub-request", decide+parse+merge+(submit+deliver)/2, "decisions + parsing + merge + half of both calls", BudgetSubRequest)
-	add("fan-out decisions, parsing and merge", "cores", cores(decide+parse+merge), "us per sub-request x sub-requests", 0)
+	add("entry VM, without sockets", "us per sub-request", decide+parse+merge+routing+(submit+deliver)/2, "decisions + parsing + merge + routing line + half of both calls", BudgetSubRequest)
+	add("fan-out decisions, parsing, merge and routing line", "cores", cores(decide+parse+merge+routing), "us per sub-request x sub-requests", 0)
 	add("Submit and Deliver calls without sockets", "cores", cores(submit+deliver), "us per sub-request x sub-requests", 0)
-	if row := r.Row(gateQuantity); row != nil && len(row.Points) > 0 {
-		gate := r.at(gateQuantity, queueLengths[1])
-		add("gate decisions", "us per sub-request", gate, "row at 4 queued", 0)
-		add("gate decisions of the owner", "cores", cores(gate), "us per sub-request x sub-requests", 0)
-	}
+	gate, admission := r.at(gateQuantity, queueLengths[1]), r.at(admissionQuantity, 1)
+	add("gate decisions", "us per sub-request", gate, "row at 4 queued", 0)
+	add("routing line", "us per sub-request", routing, "row, entry VM", 0)
+	add("admission line", "us per sub-request", admission, "row, owner", 0)
+	add("gate decisions and admission line of the owner", "cores", cores(gate+admission), "us per sub-request x sub-requests", 0)
 	bytes := r.perItem("Submit message", items) + r.perItem("Deliver message", items) + (RequestHeaderBytes+ReplyHeaderBytes)*2/items
 	add("Submit and Deliver calls, sent and received", "MB/s", 2*bytes*subs/1e6, "bytes per sub-request and HTTP headers, as entry VM and as owner", 0)
 
--- a/dgcapacity/gate.go
+++ b/dgcapacity/gate.go
@@ -1,21 +1,13 @@
 package dgcapacity
 
 import (
+	"fmt"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dggate"
 )
 
-// Gate is what is measured of dggate.Gate.
-type Gate interface {
-	Configure(r dandeliongap.Replica)
-	RightsUntil(end dandeliongap.Instant)
-	Grant(now dandeliongap.Instant, epoch dandeliongap.Epoch, h dggate.Handover, dst []dggate.Action) []dggate.Action
-	Offer(now dandeliongap.Instant, r dggate.Request, dst []dggate.Action) []dggate.Action
-	Done(now dandeliongap.Instant, id dandeliongap.SubID, res dggate.Result, dst []dggate.Action) []dggate.Action
-}
-
 const (
 	gateSlots    = 3
 	gateLatency  = time.Millisecond
@@ -28,7 +20,7 @@
 // gateLoad keeps a gate at a given number of waiting requests: each one that
 // ends lets another one start, and a new one arrives.
 type gateLoad struct {
-	gate    Gate
+	gate    dggate.Gate
 	now     dandeliongap.Instant
 	next    uint32
 	running []dandeliongap.SubID
@@ -36,16 +28,21 @@
 	refused int
 }
 
-// newGateLoad returns false if the gate does not dispatch.
-func newGateLoad(g Gate, waiting int) (*gateLoad, bool) {
-	l := &gateLoad{gate: g}
+// newGateLoad fails if the gate does not fill its slots and queue the rest.
+func newGateLoad(waiting int) (*gateLoad, error) {
+	l := &gateLoad{}
+	g := &l.gate
 	g.Configure(dandeliongap.Replica{ID: "shard-000/1", Slots: gateSlots, Connections: 10 * gateSlots, ColdLimit: 1})
 	g.RightsUntil(1 << 62)
 	l.take(g.Grant(0, 1, dggate.Handover{Known: true, Limit: gateSlots, Normal: gateLatency}, nil))
 	for range gateSlots + waiting {
 		l.offer()
 	}
-	return l, len(l.running) == gateSlots && l.refused == 0
+	if m := g.Mark(); len(l.running) != gateSlots || m.Queued != waiting {
+		return nil, fmt.Errorf("gate with %d waiting: %d running, %d queued, %d refused: %w",
+			waiting, len(l.running), m.Queued, l.refused, dandeliongap.ErrInvalid)
+	}
+	return l, nil
 }
 
 func (l *gateLoad) offer() {
@@ -53,8 +50,11 @@
 	l.take(l.gate.Offer(l.now, dggate.Request{ID: dandeliongap.SubID{Shard: l.next}, Deadline: l.now.Add(gateDeadline)}, l.actions[:0]))
 }
 
+// take does what the driver of dgnode does after each event: it reads the mark
+// for each action and asks for the next instant.
 func (l *gateLoad) take(actions []dggate.Action) {
 	for _, a := range actions {
+		l.gate.Mark()
 		switch a.Kind {
 		case dggate.Dispatch:
 			l.running = append(l.running, a.ID)
@@ -63,6 +63,7 @@
 		}
 	}
 	l.actions = actions
+	l.gate.Next()
 }
 
 // step ends the oldest running request and offers a new one.
@@ -71,7 +72,9 @@
 	if len(l.running) > 0 {
 		id := l.running[0]
 		l.running = append(l.running[:0], l.running[1:]...)
-		l.take(l.gate.Done(l.now, id, dggate.Result{Status: dandeliongap.SubAnswered, Latency: gateLatency}, l.actions[:0]))
+		actions := l.gate.Done(l.now, id, dggate.Result{Status: dandeliongap.SubAnswered, Latency: gateLatency}, l.actions[:0])
+		l.gate.Mark() // goes with the answer
+		l.take(actions)
 	}
 	l.offer()
 }
@@ -81,19 +84,15 @@
 
 func measureGate(r *Report, o Options) error {
 	for _, waiting := range queueLengths {
-		l, ok := newGateLoad(o.NewGate(), waiting)
-		if !ok {
-			r.Rows = append(r.Rows, Row{
-				Quantity: gateQuantity, Unit: "us", Driver: drivenByQueue,
-				Note: "not measured: the gate dispatches nothing, its implementation is not in this tree",
-			})
-			return nil
+		l, err := newGateLoad(waiting)
+		if err != nil {
+			return err
 		}
 		c := timed(o.Timing, l.step)
-		row := r.add(gateQuantity, "us", drivenByQueue, waiting, microseconds(c.time))
 		if l.refused > 0 {
-			row.Note = "some requests were refused, so that the queue was shorter"
+			return fmt.Errorf("gate with %d waiting: %d refused: %w", waiting, l.refused, dandeliongap.ErrInvalid)
 		}
+		r.add(gateQuantity, "us", drivenByQueue, waiting, microseconds(c.time))
 		r.add(gateQuantity+", allocations", "count", drivenByQueue, waiting, c.allocations)
 	}
 	return nil
--- a/dgcapacity/options.go
+++ b/dgcapacity/options.go
@@ -1,10 +1,6 @@
 package dgcapacity
 
-import (
-	"time"
-
-	"dandeliongap.example/dandeliongap/dggate"
-)
+import "time"
 
 // Target is the scale for which the design page gives limits.
 const (
@@ -64,8 +60,6 @@
 	Quick bool
 	// Seed of all random choices. The counts of a run depend on nothing else.
 	Seed uint64
-	// NewGate returns the gate to measure. Default: a zero dggate.Gate.
-	NewGate func() Gate
 }
 
 func (o Options) withDefaults() Options {
@@ -93,9 +87,6 @@
 	if o.Timing == 0 {
 		o.Timing = timing
 	}
-	if o.NewGate == nil {
-		o.NewGate = func() Gate { return &dggate.Gate{} }
-	}
 	return o
 }
 
--- a/dgcapacity/run.go
+++ b/dgcapacity/run.go
@@ -21,7 +21,7 @@
 			return nil, err
 		}
 	}
-	for _, measure := range []func(*Report, Options) error{measureFanout, measureWire, measureGate} {
+	for _, measure := range []func(*Report, Options) error{measureFanout, measureWire, measureGate, measureDecisionLog} {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
