Print the parts of the control traffic and the size of differences

At 610 VMs the traffic of replaced VMs is mostly whole placement tables and lists of members. The command prints what the changed entries of both take, and the traffic that remains if only these were sent.

--- a/dgcapacity/control.go
+++ b/dgcapacity/control.go
@@ -368,7 +368,7 @@
 }
 
 func (m *controlRun) measureReplacements() error {
-	before := m.c.snapshot()
+	before, written := m.c.snapshot(), len(m.c.store.replaced)
 	var longest time.Duration
 	for range replacements {
 		d, ok := m.c.replace()
@@ -380,6 +380,11 @@
 	}
 	m.add("a replaced VM: time from leaving until the next one holds a replica", "s", longest.Seconds())
 	m.reportExcess("a replaced VM", m.excess(before, replacements), TargetMemberChanges)
+	size, err := differences(m.c.store.replaced[written:])
+	if err != nil {
+		return err
+	}
+	m.add("a replaced VM: differences of tables and lists, gzip", "bytes", float64(size)/replacements)
 	return nil
 }
 
--- a/dgcapacity/derive.go
+++ b/dgcapacity/derive.go
@@ -87,6 +87,11 @@
 	contacts := 2 * value("idle: of sent: contact vectors")
 	headers := 2 * value("idle: of sent: HTTP headers")
 	digests := 2 * value("idle: of sent: digests")
+	perSecond := func(quantity string, perDay float64) float64 { return 2 * value(quantity) * perDay / secondsPerDay }
+	texts := perSecond("a change: of sent: deployment texts", TargetChanges)
+	tables := perSecond("a replaced VM: of sent: placement tables", TargetMemberChanges)
+	lists := perSecond("a replaced VM: of sent: members", TargetMemberChanges)
+	changed := perSecond("a replaced VM: differences of tables and lists, gzip", TargetMemberChanges)
 	change := value("a change: bytes sent and received at the target's rate")
 	replaced := value("a replaced VM: bytes sent and received at the target's rate")
 	total := idle + change + replaced
@@ -97,7 +102,16 @@
 	add("of it: HTTP headers while idle", "B/s", headers, "row at 610 members, sent and received", 0)
 	add("of it: digests while idle", "B/s", digests, "row at 610 members, sent and received", 0)
 	add("of it: changes", "B/s", change, "bytes of a change x 1,800 / 86,400 s", 0)
+	add("of it: deployment texts for changes", "B/s", texts, "row at 610 members, sent and received", 0)
 	add("of it: replaced VMs", "B/s", replaced, "bytes of a replaced VM x 980 / 86,400 s", 0)
+	add("of it: placement tables for replaced VMs", "B/s", tables, "row at 610 members, sent and received", 0)
+	add("of it: lists of members for replaced VMs", "B/s", lists, "row at 610 members, sent and received", 0)
+	add("differences of tables and lists for replaced VMs", "B/s", changed, "row at 610 members, each sent and received once", 0)
+	withDifferences := total - tables - lists + changed
+	add("control traffic with these differences", "B/s", withDifferences, "instead of tables and lists", BudgetBytes)
+	add("control traffic with these differences and no deployment texts", "B/s", withDifferences-texts, "difference, a lower limit of differences of texts", BudgetBytes)
+	add("control traffic with these differences and no digests while idle", "B/s", withDifferences-digests, "difference", BudgetBytes)
+	add("the same with contact vectors of half the size", "B/s", withDifferences-digests-contacts/2, "difference", BudgetBytes)
 	add("control processor time", "% of a core", value("all control: processor time"), "row at 610 members", BudgetCore)
 	add("of it: plans while nothing changes", "% of a core", value("idle: processor time of placement plans"), "row at 610 members", 0)
 	perDay := value("a change: platform calls other than periodic ones")*TargetChanges +
--- a/dgcapacity/store.go
+++ b/dgcapacity/store.go
@@ -49,8 +49,13 @@
 	objects  map[dandeliongap.ObjectName]dandeliongap.Object
 	calls    calls
 	watchers []*watcher
+	// replaced holds the writes of relayed objects, for the size of differences.
+	replaced []replacedObject
 }
 
+// replacedObject is one write of a relayed object.
+type replacedObject struct{ before, after dandeliongap.Object }
+
 // watcher is one waiting watch of the kind "state".
 type watcher struct {
 	since dandeliongap.Version
@@ -101,6 +106,9 @@
 func (s *store) set(obj dandeliongap.Object) {
 	s.version++
 	obj.Version = s.version
+	if isState(obj.Name) {
+		s.replaced = append(s.replaced, replacedObject{s.objects[obj.Name], obj})
+	}
 	s.objects[obj.Name] = obj
 	if !isState(obj.Name) {
 		return
