Charge the placement plans after a change

They are counted for each change and replaced VM. The parts that could bring the traffic under its limit are printed in each combination.

--- a/dgcapacity/control.go
+++ b/dgcapacity/control.go
@@ -344,6 +344,9 @@
 	m.add(what+": bytes sent and received", "B per VM", e.bytes)
 	m.add(what+": messages sent", "count per VM", e.messages)
 	m.add(what+": processor time without plans", "ms per VM", e.processor.Seconds()*1e3)
+	plans := time.Duration(e.plans * float64(m.units.plan.time))
+	m.add(what+": placement plans", "count per VM", e.plans)
+	m.add(what+": processor time of placement plans", "ms per VM", plans.Seconds()*1e3)
 	m.add(what+": platform calls other than periodic ones", "count in all", float64(e.calls.total()-e.calls[callWriteLease]-e.calls[callReadVMs]))
 	m.add(what+": state writes", "count in all", float64(e.calls[callWriteState]))
 	each := n * float64(m.count(what))
@@ -353,7 +356,8 @@
 	m.add(what+": repeated transfers of an object", "share", float64(t.repeatedTransfer)/float64(max(1, t.transferred)))
 	m.add(what+": objects received", "count per VM", float64(t.transferred)/each)
 	rate := e.bytes * perDay / secondsPerDay
-	core := percent(e.processor, secondsPerDay) * perDay
+	core := percent(e.processor+plans, secondsPerDay) * perDay
+	m.add(what+": processor time of placement plans at the target's rate", "% of a core per VM", percent(plans, secondsPerDay)*perDay)
 	m.add(what+": bytes sent and received at the target's rate", "B/s per VM", rate)
 	m.add(what+": processor time at the target's rate", "% of a core per VM", core)
 	m.bytes += rate
--- a/dgcapacity/derive.go
+++ b/dgcapacity/derive.go
@@ -111,9 +111,13 @@
 	add("control traffic with these differences", "B/s", withDifferences, "instead of tables and lists", BudgetBytes)
 	add("control traffic with these differences and no deployment texts", "B/s", withDifferences-texts, "difference, a lower limit of differences of texts", BudgetBytes)
 	add("control traffic with these differences and no digests while idle", "B/s", withDifferences-digests, "difference", BudgetBytes)
-	add("the same with contact vectors of half the size", "B/s", withDifferences-digests-contacts/2, "difference", BudgetBytes)
+	add("control traffic with these differences and half the contact vectors while idle", "B/s", withDifferences-contacts/2, "difference", BudgetBytes)
+	add("control traffic with these differences, half the contact vectors and no digests while idle", "B/s", withDifferences-contacts/2-digests, "difference", BudgetBytes)
+	add("control traffic with these differences, half the contact vectors while idle and no deployment texts", "B/s", withDifferences-contacts/2-texts, "difference", BudgetBytes)
 	add("control processor time", "% of a core", value("all control: processor time"), "row at 610 members", BudgetCore)
-	add("of it: plans while nothing changes", "% of a core", value("idle: processor time of placement plans"), "row at 610 members", 0)
+	plans := value("a change: processor time of placement plans at the target's rate") +
+		value("a replaced VM: processor time of placement plans at the target's rate") + value("idle: processor time of placement plans")
+	add("of it: placement plans", "% of a core", plans, "idle + changes + replaced VMs", 0)
 	perDay := value("a change: platform calls other than periodic ones")*TargetChanges +
 		value("a replaced VM: platform calls other than periodic ones")*TargetMemberChanges
 	add("platform calls of all VMs", "1/s", value("idle: platform calls")+perDay/secondsPerDay, "idle + changes + replaced VMs", 0)
