--- a/dgcapacity/control.go
+++ b/dgcapacity/control.go
@@ -217,7 +217,7 @@
 	}
 	size, kept := heapOf(func() held {
 		alone := &cluster{store: newStore(), shared: newShared(), adopted: map[dandeliongap.Version]int{}, rng: rand.New(rand.NewPCG(1, 1))}
-		n := &node{c: alone, self: self, rng: alone.rng, pulling: map[dandeliongap.MemberID]bool{}}
+		n := &node{c: alone, self: self, rng: alone.rng}
 		n.member = dgmember.New(0, self, n.rng)
 		n.relay = dgrelay.NewRelay(0, self.ID, func(dandeliongap.MemberID) bool { return true })
 		n.holdings = dgplacement.NewHoldings(self.ID, n.rng)
@@ -243,8 +243,7 @@
 	m.add("idle: control bytes sent", "B/s per VM", perVM(t.sent))
 	m.add("idle: control bytes received", "B/s per VM", perVM(t.received))
 	m.add("idle: control bytes sent and received", "B/s per VM", m.bytes).Budget = BudgetBytes
-	m.add("idle: of sent: contact vectors in requests", "B/s per VM", perVM(t.requestContacts))
-	m.add("idle: of sent: contact vectors in replies", "B/s per VM", perVM(t.replyContacts))
+	m.add("idle: of sent: contact vectors", "B/s per VM", perVM(t.contacts))
 	m.add("idle: of sent: digests", "B/s per VM", perVM(t.digest))
 	m.add("idle: of sent: HTTP headers", "B/s per VM", perVM(t.headers))
 	m.add("idle: of sent: other fields", "B/s per VM", perVM(t.other))
@@ -345,7 +344,10 @@
 	m.add(what+": bytes sent and received", "B per VM", e.bytes)
 	m.add(what+": messages sent", "count per VM", e.messages)
 	m.add(what+": processor time without plans", "ms per VM", e.processor.Seconds()*1e3)
-	m.add(what+": platform calls other than lease renewals", "count in all", float64(e.calls.total()-e.calls[callWriteLease]))
+	plans := time.Duration(e.plans * float64(m.units.plan.time))
+	m.add(what+": placement plans", "count per VM", e.plans)
+	m.add(what+": processor time of placement plans", "ms per VM", plans.Seconds()*1e3)
+	m.add(what+": platform calls other than periodic ones", "count in all", float64(e.calls.total()-e.calls[callWriteLease]-e.calls[callReadVMs]))
 	m.add(what+": state writes", "count in all", float64(e.calls[callWriteState]))
 	each := n * float64(m.count(what))
 	m.add(what+": of sent: deployment texts", "B per VM", float64(t.deployment)/each)
@@ -354,7 +356,8 @@
 	m.add(what+": repeated transfers of an object", "share", float64(t.repeatedTransfer)/float64(max(1, t.transferred)))
 	m.add(what+": objects received", "count per VM", float64(t.transferred)/each)
 	rate := e.bytes * perDay / secondsPerDay
-	core := percent(e.processor, secondsPerDay) * perDay
+	core := percent(e.processor+plans, secondsPerDay) * perDay
+	m.add(what+": processor time of placement plans at the target's rate", "% of a core per VM", percent(plans, secondsPerDay)*perDay)
 	m.add(what+": bytes sent and received at the target's rate", "B/s per VM", rate)
 	m.add(what+": processor time at the target's rate", "% of a core per VM", core)
 	m.bytes += rate
@@ -369,7 +372,7 @@
 }
 
 func (m *controlRun) measureReplacements() error {
-	before := m.c.snapshot()
+	before, written := m.c.snapshot(), len(m.c.store.replaced)
 	var longest time.Duration
 	for range replacements {
 		d, ok := m.c.replace()
@@ -381,6 +384,11 @@
 	}
 	m.add("a replaced VM: time from leaving until the next one holds a replica", "s", longest.Seconds())
 	m.reportExcess("a replaced VM", m.excess(before, replacements), TargetMemberChanges)
+	size, err := differences(m.c.store.replaced[written:])
+	if err != nil {
+		return err
+	}
+	m.add("a replaced VM: differences of tables and lists, gzip", "bytes", float64(size)/replacements)
 	return nil
 }
 
