Count the wait per rank before a deletion from when F1 holds

Cause: after a zone was lost, 200 VMs made 378 deletions for 40 members. All VMs read the leases at other times, but the majority of F1 becomes complete at about the same time for all, when the waits per rank had ended already.

--- a/dgmember/fence.go
+++ b/dgmember/fence.go
@@ -12,6 +12,8 @@
 	version dandeliongap.Version // 0: not read yet
 	ttl     time.Duration
 	since   dandeliongap.Instant // when this version was first read
+	ready   bool                 // all conditions of F1 hold
+	readyAt dandeliongap.Instant // since when they do
 	busy    bool                 // a call about it is in flight
 	next    dandeliongap.Instant // earliest next call
 }
@@ -62,13 +64,16 @@
 
 // mayDelete is F1 without the platform's part.
 func (s *State) mayDelete(now dandeliongap.Instant, i int, p *suspect) bool {
-	// The step per rank lets one VM delete after a zone is lost, when all suspect
-	// the same members.
-	turn := time.Duration(s.lowerRanks(now)) * RankStep
-	if !s.up || now.Sub(p.since) < p.ttl+s.roster.window+Margin+turn {
+	if !s.up || now.Sub(p.since) < p.ttl+s.roster.window+Margin || !s.reachMajority(now, max(s.changed, s.listedAt), i) {
+		p.ready = false
 		return false
 	}
-	return s.reachMajority(now, max(s.changed, s.listedAt), i)
+	if !p.ready {
+		p.ready, p.readyAt = true, now
+	}
+	// After a zone is lost all VMs are ready at about the same time. The step per
+	// rank lets one of them delete each lease.
+	return now >= p.readyAt.Add(time.Duration(s.lowerRanks(now))*RankStep)
 }
 
 // dropHeard ends the suspicion of members that were heard of again.
