--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -39,6 +39,7 @@
 	Demo     DemoCommand     `cmd:"" help:"Run stand-ins and six VMs in this process and show each promise as held or broken."`
 	Load     LoadCommand     `cmd:"" help:"Run an open-loop load with one fault and compare with the baseline policy."`
 	Measure  MeasureCommand  `cmd:"" help:"Measure the decisions of the request path on a virtual clock against their targets."`
+	Capacity CapacityCommand `cmd:"" help:"Measure how the cost of one VM grows with the deployment, for docs/CAPACITY.md."`
 	Control  ControlCommand  `cmd:"" help:"Measure platform calls, bytes and the time of changes on an embedded cluster."`
 	Standins StandinsCommand `cmd:"" name:"stand-ins" help:"Run the stand-ins of the platform and of all backend servers until interrupted."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
--- a/dgcommand/measure.go
+++ b/dgcommand/measure.go
@@ -5,11 +5,25 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgcapacity"
 	"dandeliongap.example/dandeliongap/dgsettings"
 	"dandeliongap.example/dandeliongap/dgtrial"
 	"dandeliongap.example/dandeliongap/examples"
 )
 
+// CapacityCommand measures the slopes of docs/CAPACITY.md.
+type CapacityCommand struct {
+	dgcapacity.Command `embed:""`
+}
+
+// Help adds an example.
+func (CapacityCommand) Help() string {
+	return "Example: dandeliongap capacity --seed 1 --json capacity.json\n\nThe full run takes about two minutes."
+}
+
+// Run prints one table of measured values, slopes and extrapolations.
+func (c *CapacityCommand) Run(env *Env) error { return c.Measure(env.Ctx, env.Out) }
+
 // MeasureCommand measures the decisions of the request path on a virtual clock.
 type MeasureCommand struct {
 	Cases    []string `arg:"" optional:"" help:"Cases to measure; by default all."`
