--- a/dggate/admit.go
+++ b/dggate/admit.go
@@ -202,7 +202,7 @@
 	if now.Add(g.work.mean) >= r.Deadline && (now >= r.Deadline || len(g.flights) > 0) {
 		return dandeliongap.ReasonOverload, RuleDeadline
 	}
-	if r.Deadline > g.end && now.Add(g.work.mean) >= g.end {
+	if r.Deadline > g.end && now.Add(g.work.mean) >= g.end && (now >= g.end || len(g.flights) > 0) {
 		return dandeliongap.ReasonLease, RuleRightsEnd
 	}
 	return dandeliongap.ReasonNone, RuleNone
--- a/dggate/api.go
+++ b/dggate/api.go
@@ -12,7 +12,9 @@
 //     Grant or refused when they can no longer meet their deadline.
 //   - G3: No dispatched request has a deadline after the end of the rights. A
 //     later deadline is shortened; a request that does not fit before the end is
-//     refused with ReasonLease.
+//     refused with ReasonLease. With nothing in flight it is tried all the same
+//     (G12): timeouts may have taught a service time that is longer than the
+//     rights ever last.
 //   - G4: A request is dispatched only while fewer requests are in flight than
 //     the limit. The limit is at most the replica's slots and connections. A
 //     slot is free only after Done, also if its request was cancelled or its
