--- a/dgdemo/demo.go
+++ b/dgdemo/demo.go
@@ -331,12 +331,12 @@
 	inForce := count("P10", "an accepted configuration is in force everywhere and never reverts", r.ConfigReverts, "reverts")
 	inForce.Held = inForce.Held && r.InForceMs >= 0 && r.InForceMs <= float64(inForceTarget.Milliseconds())
 	inForce.Evidence += fmt.Sprintf(", in force after %.0f ms", r.InForceMs)
-	cold := count("P3", "cold backend servers receive no more than they can bear", r.ColdViolations, "requests above the cold limit")
+	cold := count("P3", "cold backend servers receive no more load than they can handle", r.ColdViolations, "requests above the cold limit")
 	cold.Evidence += fmt.Sprintf(", %d above the slots, %d above the connections", r.SlotViolations, r.ConnectionViolations)
 	cold.Held = cold.Held && r.SlotViolations == 0 && r.ConnectionViolations == 0
 	return []Promise{
 		count("P1", "every answer comes from one snapshot", r.SnapshotViolations, "answers with hits of another version"),
-		count("P2", "coverage is reported truly", r.CoverageViolations, "answers whose parts differ from the report"),
+		count("P2", "the reported coverage is the actual coverage", r.CoverageViolations, "answers whose parts differ from the report"),
 		cold,
 		count("P4", "a zone taken out receives no new work", r.ZoneViolations, "requests after 3 s"),
 		count("P5", "each caller receives its own whole answer", r.CrossedAnswers, "answers with hits of another query"),
--- a/dgnode/admit.go
+++ b/dgnode/admit.go
@@ -119,5 +119,5 @@
 	}{n.requestID(), dandeliongap.OutcomeNotRun.String(), why.String(), refuseRetry.Milliseconds()})
 }
 
-// refuseRetry is the advice of a refusal at the door: another VM can serve.
+// refuseRetry is the retry-after of a request that was not let in: another VM can serve.
 const refuseRetry = 100 * time.Millisecond
--- a/dgnode/adopt.go
+++ b/dgnode/adopt.go
@@ -22,7 +22,7 @@
 func (c *control) applied(now dandeliongap.Instant, name dandeliongap.ObjectName) {
 	obj, _ := c.set.Get(name)
 	c.log.Info("relay", "Rule", dgrelay.C1, "Choice", "adopt", "Object", name, "Version", obj.Version)
-	if err := c.apply1(now, obj); err != nil {
+	if err := c.install(now, obj); err != nil {
 		c.log.Error("relayed object not readable", "Object", name, "Version", obj.Version, "Error", err)
 	}
 	c.relayActions = c.relay.Adopted(c.rng, c.relayActions)
@@ -30,9 +30,9 @@
 	c.dirty = true
 }
 
-// apply1 decodes one object and replaces the state that it holds. An object that
+// install decodes one object and replaces the state that it holds. An object that
 // cannot be decoded leaves the state as it was.
-func (c *control) apply1(now dandeliongap.Instant, obj dandeliongap.Object) error {
+func (c *control) install(now dandeliongap.Instant, obj dandeliongap.Object) error {
 	switch obj.Name {
 	case dgrelay.Deployment:
 		return c.applyDeployment(obj)
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -7,7 +7,7 @@
 // the other VMs. All decisions are made in the decision packages of the root
 // module; this package carries them out.
 //
-// Rules of admission at the door, cited in log lines:
+// Rules for letting callers in, cited in log lines:
 //
 //	E1. A request is refused as not run while this VM drains, has lost contact,
 //	    has too many requests in flight, or is in a zone that was taken out
--- a/dgonce/once.go
+++ b/dgonce/once.go
@@ -61,9 +61,9 @@
 	name dandeliongap.ObjectName
 	want Record // what the record must become
 
-	phase phase
-	ran   bool // Run was emitted
-	told  bool // Finish was emitted
+	phase    phase
+	ran      bool // Run was emitted
+	finished bool // Finish was emitted
 
 	call    call
 	wrote   RecordState          // state in the last Put
@@ -176,7 +176,7 @@
 		o.want.State, o.want.Answer = Answered, body
 	}
 	end := Action{Kind: Finish, Outcome: out, Reason: reason, RetryAfter: retryAfter, Body: body, Rule: RuleOutcome}
-	if out == dandeliongap.OutcomeNotRun && !o.told {
+	if out == dandeliongap.OutcomeNotRun && !o.finished {
 		o.verdict = end
 		o.verdictBy = min(now.Add(RecordWait), max(o.req.Deadline, now+1))
 	} else {
@@ -222,7 +222,7 @@
 	if o.verdictBy != 0 {
 		next = min(next, o.verdictBy)
 	}
-	if !o.told && (o.phase == claim || o.phase == running) {
+	if !o.finished && (o.phase == claim || o.phase == running) {
 		next = min(next, o.req.Deadline)
 	}
 	return next
@@ -363,9 +363,9 @@
 
 func (o *Once) tell(end Action, dst []Action) []Action {
 	o.verdictBy = 0
-	if o.told {
+	if o.finished {
 		return dst
 	}
-	o.told = true
+	o.finished = true
 	return append(dst, end)
 }
--- a/dgstandin/options.go
+++ b/dgstandin/options.go
@@ -140,7 +140,7 @@
 	HealthError                // answers 500
 )
 
-// BackendCounters are what a backend server truly received. All are totals
+// BackendCounters are what a backend server received. All are totals
 // since it was created; MostAtOnce and MostConnections are the highest values.
 type BackendCounters struct {
 	Received             int64 // POST /query received
