Change zones while the platform answers no reads

Cause: a take-out read the zones object first, so that it could not be accepted while the platform answered writes but no reads. The change is now based on what the VM holds then; the conditional write fails if that is out of date.

--- a/dgdemo/zone_test.go
+++ b/dgdemo/zone_test.go
@@ -58,3 +58,18 @@
 	f.expectAllAnswered(tally)
 	f.expectPromisesKept(tally)
 }
+
+// Guards against a zone that operators cannot take out, or that goes on receiving
+// work, while the platform answers no reads and no watches.
+func TestZoneOutWhileReadsFail(t *testing.T) {
+	f := shared(t)
+	tally := f.underLoad(func() {
+		f.platform(dgstandin.PlatformFaults{ReadsDown: true})
+		f.setZone(true)
+		time.Sleep(afterGrace)
+		f.setZone(false)
+		f.platform(dgstandin.PlatformFaults{})
+	})
+	f.expectAllAnswered(tally)
+	f.expectPromisesKept(tally)
+}
--- a/dgnode/change.go
+++ b/dgnode/change.go
@@ -171,21 +171,39 @@
 	}
 }
 
-func (c *control) tryZone(ctx context.Context, name dandeliongap.ZoneName, out bool) (dandeliongap.Version, error) {
-	obj, err := c.store.Get(ctx, dgrelay.Zones)
+// zonesBase returns the zones object to change, and whether it was read from the
+// platform just now. While the platform answers no reads the change is based on
+// what this VM holds; the conditional write fails if that is out of date.
+func (c *control) zonesBase(ctx context.Context) (obj dandeliongap.Object, read bool, err error) {
+	obj, err = c.store.Get(ctx, dgrelay.Zones)
 	c.platform(err)
-	var zones dgrelay.ZonesOut
 	switch {
+	case err == nil:
+		return obj, true, nil
 	case errors.Is(err, dandeliongap.ErrNotFound):
+		return dandeliongap.Object{Name: dgrelay.Zones}, true, nil
+	case !errors.Is(err, dandeliongap.ErrUnreachable):
+		return obj, false, err
+	}
+	obj = c.held(dgrelay.Zones)
+	if obj.Deleted {
 		obj = dandeliongap.Object{Name: dgrelay.Zones}
-	case err != nil:
+	}
+	return obj, false, nil
+}
+
+func (c *control) tryZone(ctx context.Context, name dandeliongap.ZoneName, out bool) (dandeliongap.Version, error) {
+	obj, read, err := c.zonesBase(ctx)
+	if err != nil {
 		return 0, err
-	default:
+	}
+	var zones dgrelay.ZonesOut
+	if obj.Version != 0 {
 		if zones, err = dgrelay.DecodeZones(obj.Body); err != nil {
 			return 0, err
 		}
 	}
-	if slices.Contains(zones.Out, name) == out && obj.Version != 0 {
+	if read && slices.Contains(zones.Out, name) == out && obj.Version != 0 {
 		c.adoptOwn(obj)
 		return obj.Version, nil
 	}
--- a/dgstandin/platform.go
+++ b/dgstandin/platform.go
@@ -34,6 +34,8 @@
 // PlatformFaults are the faults that a Platform shows. The zero value is none.
 type PlatformFaults struct {
 	Down DownMode
+	// ReadsDown answers every read, list and watch with 503; writes go on.
+	ReadsDown bool
 	// Delay is added to every call before it takes effect.
 	Delay time.Duration
 	// LoseNext is the number of next answers that are lost after the change
--- a/dgstandin/platform_api.go
+++ b/dgstandin/platform_api.go
@@ -42,7 +42,7 @@
 	if f.Delay > 0 && !p.pause(f.Delay) {
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
-	if f.Down != Up {
+	if f.Down != Up || f.ReadsDown && c.Method() == fiber.MethodGet {
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
 	if fail {
