--- /dev/null
+++ b/dgbalance/dgbalance.go
@@ -0,0 +1,340 @@
+// Package dgbalance selects the replica that a request goes to, on one VM, from
+// what this VM has seen of the replicas. It answers the load of uneven replicas:
+// slow, paused, failing, cold, unreachable and leaving ones.
+//
+// Rules:
+//
+//	R1  A replica that drains, lies in a zone that operators took out, or was used
+//	    by the same request before is not used.
+//	R2  This VM opens at most its share of a replica's connections. The shares of
+//	    all registered VMs add up to no more than the replica accepts.
+//	R3  Of the usable replicas, the one with the least cost is used: its slowness
+//	    times its requests under way, divided by its share of successes. Equal
+//	    costs are decided at random.
+//	R4  Slowness is learned from answers, relative to the route's typical latency,
+//	    and fades without new ones. A request that is under way counts with its age.
+//	R5  A replica that refused a connection or broke one is not used for a time that
+//	    doubles, and then for one request until that one succeeds.
+//	R6  A replica whose oldest request is older than StuckAfter gets one request at
+//	    a time, each ProbeEvery.
+//	R7  A cold replica with a limit gets this VM's share of that rate.
+package dgbalance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	latencyWeight = 0.3  // of a new sample in a replica's slowness
+	typicalWeight = 0.02 // of a new sample in a route's typical latency
+	failWeight    = 0.25 // of a new sample in a replica's share of failures
+	maxFail       = 0.9  // keeps the cost of a failing replica finite
+	maxSlow       = 50.0 // keeps one very late answer from ruling a replica out for long
+
+	// fadeHalf is the time in which what was learned of a replica loses half of
+	// its weight: a few requests of one VM to one replica.
+	fadeHalf = time.Second
+
+	downFirst = 50 * time.Millisecond  // R5; a server that restarts refuses for longer
+	downMost  = 800 * time.Millisecond // R5; bounds the delay after a return
+
+	// StuckAfter is longer than the pauses of healthy replicas, 250 ms.
+	StuckAfter = 400 * time.Millisecond
+	// ProbeEvery bounds the load on replicas that do not answer.
+	ProbeEvery = 250 * time.Millisecond
+
+	// coldSlowness is the cost of a cold replica relative to a warm one.
+	coldSlowness = 1.6
+)
+
+// Result is how a request at a replica ended, as far as it tells about the
+// replica.
+type Result uint8
+
+// Results.
+const (
+	// Answered: a whole answer in time.
+	Answered Result = iota
+	// Refused: the replica said that it did not run the request.
+	Refused
+	// Erred: the replica failed the request, or its answer was lost or broken.
+	Erred
+	// Unreached: no connection could be made.
+	Unreached
+	// Abandoned: cancelled or past its deadline; only its age tells something.
+	Abandoned
+)
+
+type replica struct {
+	inst    dandeliongap.Instance
+	coldEnd dandeliongap.Instant
+	allowed int // connections (R2)
+
+	started   []dandeliongap.Instant // requests under way
+	slow      float64
+	fail      float64
+	learnedAt dandeliongap.Instant
+
+	downUntil dandeliongap.Instant
+	downFor   time.Duration
+	probeAt   dandeliongap.Instant
+
+	coldTokens float64
+	coldAt     dandeliongap.Instant
+	coldRate   float64
+}
+
+// Ticket is one request under way at a replica.
+type Ticket struct {
+	Instance dandeliongap.Instance
+	Allowed  int // connections of this VM
+	Start    dandeliongap.Instant
+	Cost     float64 // that decided (R3)
+	Usable   int     // replicas that were compared
+}
+
+// Balancer is not safe for concurrent use.
+type Balancer struct {
+	rng      *rand.Rand
+	self     dandeliongap.VMName
+	services map[dandeliongap.ServiceName][]*replica
+	byID     map[dandeliongap.InstanceID]*replica
+	zonesOut map[dandeliongap.ZoneName]bool
+	typical  map[dandeliongap.RouteName]time.Duration
+}
+
+// New returns a balancer without replicas.
+func New(self dandeliongap.VMName, rng *rand.Rand) *Balancer {
+	return &Balancer{
+		rng: rng, self: self,
+		services: make(map[dandeliongap.ServiceName][]*replica),
+		byID:     make(map[dandeliongap.InstanceID]*replica),
+		typical:  make(map[dandeliongap.RouteName]time.Duration),
+	}
+}
+
+// Update takes in the replicas, the limits of their services, the zones taken
+// out and the registered VMs. What was learned of replicas that stay is kept.
+func (b *Balancer) Update(now dandeliongap.Instant, list []dandeliongap.Instance, limits map[dandeliongap.ServiceName]dandeliongap.ServiceLimits, zonesOut map[dandeliongap.ZoneName]bool, vms []dandeliongap.VMName) {
+	b.zonesOut = zonesOut
+	old := b.byID
+	b.byID = make(map[dandeliongap.InstanceID]*replica, len(list))
+	b.services = make(map[dandeliongap.ServiceName][]*replica)
+	for _, in := range list {
+		r := old[in.ID]
+		if r == nil || r.inst.Born != in.Born || r.inst.Address != in.Address {
+			r = &replica{slow: 1, learnedAt: now}
+		}
+		r.inst = in
+		r.coldEnd = now.Add(in.ColdFor)
+		limit := limits[in.Service]
+		r.allowed = b.share(in.ID, limit.Connections, vms)
+		r.coldRate = limit.ColdRate / float64(max(1, len(vms)))
+		b.byID[in.ID] = r
+		b.services[in.Service] = append(b.services[in.Service], r)
+	}
+	for _, rs := range b.services {
+		slices.SortFunc(rs, func(a, b *replica) int { return cmp.Compare(a.inst.ID, b.inst.ID) })
+	}
+}
+
+// share returns this VM's connections of a replica (R2). Where there are fewer
+// connections than VMs, a hash decides which VMs have one.
+func (b *Balancer) share(id dandeliongap.InstanceID, connections int, vms []dandeliongap.VMName) int {
+	n := len(vms)
+	if connections <= 0 {
+		return math.MaxInt
+	}
+	if n <= 1 {
+		return connections
+	}
+	share, rest := connections/n, connections%n
+	if rest == 0 {
+		return share
+	}
+	own, before := rank(id, b.self), 0
+	for _, vm := range vms {
+		if rank(id, vm) < own {
+			before++
+		}
+	}
+	if before < rest {
+		share++
+	}
+	return share
+}
+
+func rank(id dandeliongap.InstanceID, vm dandeliongap.VMName) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(id))
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
+}
+
+// Typical returns the typical latency of a route; fallback if none was seen.
+func (b *Balancer) Typical(r dandeliongap.RouteName, fallback time.Duration) time.Duration {
+	if d := b.typical[r]; d > 0 {
+		return d
+	}
+	return fallback
+}
+
+// Usable tells whether a request to a service could be sent now.
+func (b *Balancer) Usable(now dandeliongap.Instant, s dandeliongap.ServiceName) bool {
+	for _, r := range b.services[s] {
+		if b.open(now, r) && !b.closedFor(now, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// open tells whether a replica may be used at all (R1).
+func (b *Balancer) open(_ dandeliongap.Instant, r *replica) bool {
+	return !r.inst.Draining && !b.zonesOut[r.inst.Zone] && r.allowed > 0
+}
+
+// closedFor tells whether what was seen of a replica rules it out now (R5, R6).
+func (b *Balancer) closedFor(now dandeliongap.Instant, r *replica) bool {
+	if now < r.downUntil {
+		return true
+	}
+	if r.downFor > 0 && len(r.started) > 0 {
+		return true
+	}
+	return len(r.started) > 0 && now.Sub(r.started[0]) > StuckAfter && now < r.probeAt
+}
+
+// Pick selects a replica and counts the request as under way (R1 to R7). Without
+// a usable replica its error is ErrNoReplica, and retry tells when there may be
+// one.
+func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, used []dandeliongap.InstanceID) (t Ticket, retry dandeliongap.Instant, err error) {
+	var best *replica
+	bestCost := math.Inf(1)
+	usable := 0
+	retry = now.Add(ProbeEvery)
+	for _, r := range b.services[s] {
+		if !b.open(now, r) || slices.Contains(used, r.inst.ID) {
+			continue
+		}
+		if b.closedFor(now, r) {
+			if r.downUntil > now {
+				retry = min(retry, r.downUntil)
+			}
+			continue
+		}
+		if len(r.started) >= r.allowed || !r.coldToken(now) {
+			retry = min(retry, now.Add(busyRetry))
+			continue
+		}
+		usable++
+		cost := b.cost(now, route, r) * (1 + 0.01*b.rng.Float64())
+		if cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	if best == nil {
+		return Ticket{}, retry, dandeliongap.ErrNoReplica
+	}
+	if best.inCold(now) {
+		best.coldTokens--
+	}
+	if len(best.started) > 0 && now.Sub(best.started[0]) > StuckAfter {
+		best.probeAt = now.Add(ProbeEvery)
+	}
+	best.started = append(best.started, now)
+	return Ticket{Instance: best.inst, Allowed: best.allowed, Start: now, Cost: bestCost, Usable: usable}, 0, nil
+}
+
+// busyRetry is the wait for a connection or a cold replica's next request.
+const busyRetry = 5 * time.Millisecond
+
+func (r *replica) inCold(now dandeliongap.Instant) bool {
+	return r.coldRate > 0 && now < r.coldEnd
+}
+
+// coldToken tells whether a cold replica may get a request (R7).
+func (r *replica) coldToken(now dandeliongap.Instant) bool {
+	if !r.inCold(now) {
+		return true
+	}
+	if r.coldAt == 0 {
+		r.coldTokens = 1
+	} else {
+		r.coldTokens = min(max(1, r.coldRate/4), r.coldTokens+r.coldRate*now.Sub(r.coldAt).Seconds())
+	}
+	r.coldAt = now
+	return r.coldTokens >= 1
+}
+
+// faded returns slowness and share of failures after fading (R4).
+func (r *replica) faded(now dandeliongap.Instant) (slow, fail float64) {
+	f := math.Exp2(-float64(now.Sub(r.learnedAt)) / float64(fadeHalf))
+	return 1 + (r.slow-1)*f, r.fail * f
+}
+
+// cost is the expected cost of a request at a replica (R3, R4).
+func (b *Balancer) cost(now dandeliongap.Instant, route dandeliongap.RouteName, r *replica) float64 {
+	slow, fail := r.faded(now)
+	if now < r.coldEnd {
+		slow *= coldSlowness
+	}
+	if len(r.started) > 0 {
+		typical := b.Typical(route, 50*time.Millisecond)
+		slow = max(slow, float64(now.Sub(r.started[0]))/float64(typical))
+	}
+	return slow * float64(1+len(r.started)) / (1 - min(fail, maxFail))
+}
+
+// Done ends a request that Pick counted.
+func (b *Balancer) Done(now dandeliongap.Instant, route dandeliongap.RouteName, t *Ticket, result Result) {
+	r := b.byID[t.Instance.ID]
+	if r == nil {
+		return
+	}
+	if i := slices.Index(r.started, t.Start); i >= 0 {
+		r.started = slices.Delete(r.started, i, i+1)
+	}
+	took := now.Sub(t.Start)
+	switch result {
+	case Answered:
+		b.learn(now, route, r, took, 0)
+		r.downFor, r.downUntil = 0, 0
+	case Refused:
+		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
+	case Erred:
+		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
+		r.downFor = 0
+	case Unreached:
+		r.downFor = min(max(downFirst, 2*r.downFor), downMost)
+		r.downUntil = now.Add(r.downFor)
+	case Abandoned:
+		if typical := b.Typical(route, 0); typical > 0 && took > typical {
+			b.learn(now, route, r, took, 0)
+		}
+	}
+}
+
+// learn takes a latency and a success (0) or failure (1) into account (R4).
+func (b *Balancer) learn(now dandeliongap.Instant, route dandeliongap.RouteName, r *replica, took time.Duration, failed float64) {
+	typical := b.Typical(route, took)
+	slow, fail := r.faded(now)
+	sample := min(float64(took)/float64(max(typical, time.Microsecond)), maxSlow)
+	r.slow = slow + latencyWeight*(sample-slow)
+	r.fail = fail + failWeight*(failed-fail)
+	r.learnedAt = now
+	if failed > 0 {
+		return
+	}
+	sampled := min(took, 4*typical)
+	b.typical[route] = typical + time.Duration(typicalWeight*float64(sampled-typical))
+}
--- /dev/null
+++ b/dgbudget/dgbudget.go
@@ -0,0 +1,136 @@
+// Package dgbudget limits the requests that are sent to a second replica. The
+// limit holds for all VMs together and any window of time, although no VM asks
+// another one: each VM spends from its own requests and from its share of the
+// common allowance. It answers the load of retries and hedges that a slow or
+// failing service draws.
+//
+// Rules:
+//
+//	U1  The extra requests of a VM to a service in any window are at most Ratio
+//	    times the first requests of that VM to the service in the window, plus the
+//	    VM's share of Slack.
+//	U2  The share of Slack is Slack divided by the number of VMs that were
+//	    registered at any time in the last window.
+//	U3  A process that replaces another one has no share of Slack in its first
+//	    window: its predecessor may have spent it.
+package dgbudget
+
+import (
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// buckets is the number of parts that a window is counted in.
+const buckets = 20
+
+// Options configure a Budget.
+type Options struct {
+	Ratio  float64       // extra requests for each first one
+	Slack  float64       // extra requests of all VMs in a window
+	Window time.Duration // of time that the limit holds for
+	First  bool          // the whole tier starts: there is no predecessor (U3)
+	Start  dandeliongap.Instant
+}
+
+// Budget counts requests per service. It is not safe for concurrent use.
+type Budget struct {
+	opt      Options
+	members  int
+	highest  int                  // members in the last window (U2)
+	since    dandeliongap.Instant // when highest was last reached
+	services map[dandeliongap.ServiceName]*window
+}
+
+type bucket struct {
+	slot         int64 // ordinal of the bucket since the start
+	first, extra float64
+}
+
+// window is one more bucket than the window has, so that it is covered wholly.
+type window [buckets + 1]bucket
+
+// New returns a budget for one VM.
+func New(o Options) *Budget {
+	return &Budget{opt: o, members: 1, highest: 1, services: make(map[dandeliongap.ServiceName]*window)}
+}
+
+// SetMembers sets the number of registered VMs, this one included.
+func (b *Budget) SetMembers(now dandeliongap.Instant, n int) {
+	b.members = max(n, 1)
+	if b.members >= b.highest || now.Sub(b.since) > b.opt.Window {
+		b.highest, b.since = b.members, now
+	}
+}
+
+func (b *Budget) slot(now dandeliongap.Instant) int64 {
+	return int64(now) * buckets / int64(b.opt.Window)
+}
+
+func (b *Budget) at(now dandeliongap.Instant, s dandeliongap.ServiceName) *bucket {
+	w := b.services[s]
+	if w == nil {
+		w = new(window)
+		b.services[s] = w
+	}
+	slot := b.slot(now)
+	k := &w[slot%int64(len(w))]
+	if k.slot != slot {
+		*k = bucket{slot: slot}
+	}
+	return k
+}
+
+// First counts the first request of a caller's request to a service.
+func (b *Budget) First(now dandeliongap.Instant, s dandeliongap.ServiceName) {
+	b.at(now, s).first++
+}
+
+// Take reserves one extra request (U1) and tells whether there was one.
+func (b *Budget) Take(now dandeliongap.Instant, s dandeliongap.ServiceName) bool {
+	k := b.at(now, s)
+	if b.Left(now, s) < 1 {
+		return false
+	}
+	k.extra++
+	return true
+}
+
+// Return gives back an extra request that was not sent.
+func (b *Budget) Return(now dandeliongap.Instant, s dandeliongap.ServiceName) {
+	if k := b.at(now, s); k.extra > 0 {
+		k.extra--
+	}
+}
+
+// Left returns the extra requests that remain in the window that ends now.
+func (b *Budget) Left(now dandeliongap.Instant, s dandeliongap.ServiceName) float64 {
+	w := b.services[s]
+	slack := b.slack(now)
+	if w == nil {
+		return slack
+	}
+	slot := b.slot(now)
+	var first, extra float64
+	for i := range w {
+		age := slot - w[i].slot
+		if age < 0 || age > buckets {
+			continue
+		}
+		extra += w[i].extra
+		if age < buckets {
+			first += w[i].first
+		}
+	}
+	return b.opt.Ratio*first + slack - extra
+}
+
+func (b *Budget) slack(now dandeliongap.Instant) float64 {
+	if !b.opt.First && now.Sub(b.opt.Start) < b.opt.Window {
+		return 0
+	}
+	if now.Sub(b.since) > b.opt.Window {
+		b.highest = b.members
+	}
+	return b.opt.Slack / float64(b.highest)
+}
--- /dev/null
+++ b/dgedge/control.go
@@ -0,0 +1,458 @@
+package dgedge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgcatalog"
+	"dandeliongap.example/dandeliongap/dgpresence"
+	"dandeliongap.example/dandeliongap/dgroute"
+	"github.com/sourcegraph/conc"
+)
+
+// storeStaleAfter is the age of the store's last answer at which a VM may have
+// missed a configuration: a watch ends sooner than that.
+const storeStaleAfter = watchWait + 2*time.Second
+
+// forgetAfter is the age of a lost VM's last beat at which its registration is
+// removed; a VM that was only paused registers again.
+const forgetAfter = 30 * time.Second
+
+// batch is what one answer of the store brought, or that it brought none.
+type batch struct {
+	kind    string
+	full    bool // the whole collection
+	objects []dandeliongap.Object
+	version dandeliongap.Version
+	err     error
+}
+
+// control owns the control state of a VM.
+type control struct {
+	e       *Edge
+	batches chan batch
+	beats   chan []dgpresence.Beat
+	poked   chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+
+	udp *net.UDPConn
+
+	table    *dgroute.Table
+	catalog  *dgcatalog.Catalog
+	known    map[string]bool // kinds that were listed
+	zonesOut map[dandeliongap.ZoneName]bool
+	members  map[dandeliongap.VMName]dandeliongap.EdgeMember
+	versions map[dandeliongap.VMName]dandeliongap.Version
+	presence *dgpresence.View
+	since    map[dandeliongap.VMName]dandeliongap.Instant // first seen in the registry
+	heard    dandeliongap.Instant                         // last answer of the store
+	lostKind map[string]bool                              // kinds whose last call failed
+	recheck  dandeliongap.Instant                         // next expiry in the catalog
+
+	regMu      sync.Mutex
+	registered bool
+}
+
+func newControl(e *Edge) *control {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &control{
+		e: e, ctx: ctx, cancel: cancel,
+		batches:  make(chan batch),
+		beats:    make(chan []dgpresence.Beat, 64),
+		poked:    make(chan struct{}, 1),
+		catalog:  dgcatalog.New(),
+		known:    make(map[string]bool),
+		zonesOut: make(map[dandeliongap.ZoneName]bool),
+		members:  make(map[dandeliongap.VMName]dandeliongap.EdgeMember),
+		versions: make(map[dandeliongap.VMName]dandeliongap.Version),
+		presence: dgpresence.New(e.opt.Settings.VM, e.boot),
+		since:    make(map[dandeliongap.VMName]dandeliongap.Instant),
+		lostKind: make(map[string]bool),
+	}
+}
+
+// kinds are the collections that a VM follows.
+var kinds = []string{dandeliongap.KindRoutes, dandeliongap.KindInstances, dandeliongap.KindZonesOut, dandeliongap.KindMembers}
+
+// run owns the control state until the edge stops.
+func (c *control) run() {
+	c.listenGossip()
+	for _, kind := range kinds {
+		c.wg.Go(func() { c.follow(kind) })
+	}
+	c.wg.Go(c.register)
+	tick := time.NewTicker(dgpresence.BeatEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.wg.Wait()
+			return
+		case b := <-c.batches:
+			c.apply(b)
+		case beats := <-c.beats:
+			c.presence.Hear(c.e.now(), beats)
+		case <-c.poked:
+			c.publish()
+			c.beat()
+		case <-tick.C:
+			c.tick()
+		}
+	}
+}
+
+func (c *control) close() {
+	c.cancel()
+	if c.udp != nil {
+		_ = c.udp.Close()
+	}
+}
+
+// poke makes the control goroutine publish a change of the process's own state.
+func (c *control) poke() {
+	select {
+	case c.poked <- struct{}{}:
+	default:
+	}
+}
+
+// apply takes in an answer of the store.
+func (c *control) apply(b batch) {
+	now := c.e.now()
+	if b.err != nil {
+		c.storeLost(b)
+		return
+	}
+	c.storeRegained(now, b.kind)
+	switch b.kind {
+	case dandeliongap.KindRoutes:
+		for _, o := range b.objects {
+			c.applyRoutes(o)
+		}
+	case dandeliongap.KindInstances:
+		c.applyInstances(now, b)
+	case dandeliongap.KindZonesOut:
+		c.applyZones(b)
+	case dandeliongap.KindMembers:
+		c.applyMembers(now, b)
+	}
+	c.known[b.kind] = true
+	c.refresh()
+}
+
+func (c *control) storeLost(b batch) {
+	c.catalog.Lost()
+	if !c.lostKind[b.kind] {
+		c.e.log.event("store lost").Str("Kind", b.kind).Dur("Age", c.e.now().Sub(c.heard)).Err(b.err).Send()
+	}
+	c.lostKind[b.kind] = true
+}
+
+func (c *control) storeRegained(now dandeliongap.Instant, kind string) {
+	c.catalog.Regained(now)
+	if c.lostKind[kind] {
+		c.e.log.event("store regained").Str("Kind", kind).Dur("Age", now.Sub(c.heard)).Send()
+	}
+	delete(c.lostKind, kind)
+	c.heard = now
+}
+
+// applyRoutes takes a newer configuration into force; an older one never is.
+func (c *control) applyRoutes(o dandeliongap.Object) {
+	if o.Deleted {
+		c.e.log.event("configuration removed").Uint64("Version", uint64(o.Version)).Str("Choice", "keep the last one").Send()
+		return
+	}
+	cfg, err := c.e.opt.Store.DecodeRoutes(o)
+	if err != nil {
+		c.e.log.event("configuration invalid").Uint64("Version", uint64(o.Version)).Err(err).Str("Choice", "keep the last one").Send()
+		return
+	}
+	if c.table != nil && cfg.Version <= c.table.Config.Version {
+		return
+	}
+	t := dgroute.New(cfg)
+	c.e.mu.Lock()
+	t.Inherit(c.table)
+	c.e.mu.Unlock()
+	c.table = t
+	c.e.log.event("configuration in force").Uint64("Version", uint64(cfg.Version)).Uint64("Number", cfg.Number).
+		Int("Routes", len(cfg.Routes)).Int("Services", len(cfg.Services)).Send()
+}
+
+func (c *control) applyInstances(now dandeliongap.Instant, b batch) {
+	var list []dandeliongap.Instance
+	var versions []dandeliongap.Version
+	for _, o := range b.objects {
+		id := dandeliongap.InstanceID(baseName(o.Name))
+		if o.Deleted {
+			c.catalog.Remove(now, id)
+			c.e.log.event("replica removed").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Send()
+			continue
+		}
+		in, err := c.e.opt.Store.DecodeInstance(o)
+		if err != nil {
+			c.e.log.event("registration unreadable").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Err(err).Send()
+			c.catalog.Remove(now, id)
+			continue
+		}
+		if !b.full {
+			c.catalog.Put(now, in, o.Version)
+			c.e.log.event("replica changed").Str("Replica", string(id)).Str("Service", string(in.Service)).
+				Str("Address", in.Address).Bool("Draining", in.Draining).Dur("Cold", in.ColdFor).Uint64("Version", uint64(o.Version)).Send()
+			continue
+		}
+		list = append(list, in)
+		versions = append(versions, o.Version)
+	}
+	if b.full {
+		c.catalog.Replace(now, list, versions)
+		c.e.log.event("replicas listed").Int("Replicas", len(list)).Uint64("Version", uint64(b.version)).Send()
+	}
+}
+
+func (c *control) applyZones(b batch) {
+	out := make(map[dandeliongap.ZoneName]bool)
+	if !b.full {
+		for z := range c.zonesOut {
+			out[z] = true
+		}
+	}
+	for _, o := range b.objects {
+		z := dandeliongap.ZoneName(baseName(o.Name))
+		if o.Deleted {
+			delete(out, z)
+		} else {
+			out[z] = true
+		}
+		c.e.log.event("zone changed").Str("Zone", string(z)).Bool("Out", !o.Deleted).Uint64("Version", uint64(o.Version)).Send()
+	}
+	c.zonesOut = out
+}
+
+func (c *control) applyMembers(now dandeliongap.Instant, b batch) {
+	if b.full {
+		clear(c.members)
+	}
+	for _, o := range b.objects {
+		vm := dandeliongap.VMName(baseName(o.Name))
+		var m dandeliongap.EdgeMember
+		if o.Deleted {
+			delete(c.members, vm)
+		} else if err := json.Unmarshal(o.Body, &m); err != nil || m.Entry == "" {
+			c.e.log.event("member unreadable").Str("Member", string(vm)).AnErr("Error", err).Send()
+			continue
+		} else {
+			c.members[vm] = m
+			c.versions[vm] = o.Version
+			if _, ok := c.since[vm]; !ok {
+				c.since[vm] = now
+			}
+		}
+		c.e.log.event("member changed").Str("Member", string(vm)).Bool("Removed", o.Deleted).Str("Entry", m.Entry).Send()
+	}
+	if own, ok := c.members[c.e.opt.Settings.VM]; !ok || own.Boot != c.e.boot {
+		c.regMu.Lock()
+		c.registered = false
+		c.regMu.Unlock()
+	}
+}
+
+// baseName returns the name of an object without its kind.
+func baseName(n dandeliongap.ObjectName) string {
+	_, name, _ := strings.Cut(string(n), "/")
+	return name
+}
+
+// refresh gives the control state to the decisions of requests.
+func (c *control) refresh() {
+	e, now := c.e, c.e.now()
+	_, c.recheck = c.catalog.Expire(now)
+	list := c.catalog.Instances(now)
+	vms := c.vms()
+	limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{}
+	if c.table != nil {
+		limits = c.table.Config.Services
+	}
+	ids := make(map[dandeliongap.InstanceID]bool, len(list))
+	for _, in := range list {
+		ids[in.ID] = true
+	}
+	e.mu.Lock()
+	e.bal.Update(now, list, limits, c.zonesOut, vms)
+	e.budget.SetMembers(now, len(vms))
+	e.mu.Unlock()
+	e.forward.Retain(ids)
+	c.publish()
+}
+
+// vms returns the registered VMs, this one included.
+func (c *control) vms() []dandeliongap.VMName {
+	out := []dandeliongap.VMName{c.e.opt.Settings.VM}
+	for vm := range c.members {
+		if vm != c.e.opt.Settings.VM {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// publish replaces the view of requests.
+func (c *control) publish() {
+	e, now := c.e, c.e.now()
+	v := &view{table: c.table}
+	v.ready = c.table != nil
+	for _, kind := range kinds {
+		v.ready = v.ready && c.known[kind]
+	}
+	v.stale = now.Sub(c.heard) > storeStaleAfter
+	if v.ready && !e.leaving.Load() {
+		v.names = append(v.names, e.opt.Settings.Entry)
+	}
+	for vm, m := range c.members {
+		if _, serving := c.presence.Present(now, vm); serving {
+			v.names = append(v.names, m.Entry)
+		}
+	}
+	slices.Sort(v.names)
+	if old := e.view.Load(); old.ready != v.ready || !slices.Equal(old.names, v.names) {
+		e.log.event("directory changed").Bool("Ready", v.ready).Strs("Names", v.names).Send()
+	}
+	e.view.Store(v)
+}
+
+// tick sends the own beat and looks at what only time changes.
+func (c *control) tick() {
+	now := c.e.now()
+	c.beat()
+	if c.recheck > 0 && now >= c.recheck {
+		c.refresh()
+	} else {
+		c.publish()
+	}
+	c.forget(now)
+	c.e.log.report()
+}
+
+// forget removes the registration of VMs that are lost for good. One of the VMs
+// that are present does so.
+func (c *control) forget(now dandeliongap.Instant) {
+	if len(c.lostKind) > 0 || !c.known[dandeliongap.KindMembers] {
+		return
+	}
+	for vm := range c.members {
+		if alive, _ := c.presence.Present(now, vm); alive && vm < c.e.opt.Settings.VM {
+			return
+		}
+	}
+	for vm := range c.members {
+		age, heard := c.presence.Age(now, vm)
+		if !heard {
+			age = now.Sub(c.since[vm])
+		}
+		if vm == c.e.opt.Settings.VM || age < forgetAfter || now.Sub(c.since[vm]) < forgetAfter {
+			continue
+		}
+		version := c.versions[vm]
+		delete(c.members, vm)
+		delete(c.since, vm)
+		c.e.log.event("member forgotten").Str("Member", string(vm)).Dur("Age", age).Send()
+		c.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+			defer cancel()
+			if err := c.e.opt.Store.Delete(ctx, memberObject(vm), version); err != nil {
+				c.e.log.event("member not removed").Str("Member", string(vm)).Err(err).Send()
+			}
+		})
+	}
+}
+
+// listenGossip opens the socket for beats. Without it the VM serves, but other
+// VMs do not name it.
+func (c *control) listenGossip() {
+	addr, err := net.ResolveUDPAddr("udp", c.e.opt.Settings.Gossip)
+	if err == nil {
+		c.udp, err = net.ListenUDP("udp", addr)
+	}
+	if err != nil {
+		c.e.log.event("no gossip").Err(err).Send()
+		return
+	}
+	c.wg.Go(c.hear)
+}
+
+// gossipMost bounds a datagram with beats: the largest that UDP carries.
+const gossipMost = 64 << 10
+
+// gossipPeers is the number of VMs that each beat goes to.
+const gossipPeers = 5
+
+func (c *control) hear() {
+	buf := make([]byte, gossipMost)
+	for {
+		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			c.e.stats.add("GossipErrors")
+			continue
+		}
+		var msg struct{ Beats []dgpresence.Beat }
+		if err := json.Unmarshal(buf[:n], &msg); err != nil {
+			c.e.stats.add("GossipUnreadable")
+			continue
+		}
+		select {
+		case c.beats <- msg.Beats:
+		default:
+			c.e.stats.add("GossipDropped")
+		}
+	}
+}
+
+// beat sends the own beat and those known to some other VMs.
+func (c *control) beat() {
+	now := c.e.now()
+	beats := c.presence.Tick(now, c.e.serving())
+	if c.udp == nil {
+		return
+	}
+	text, err := json.Marshal(struct{ Beats []dgpresence.Beat }{beats})
+	if err != nil {
+		c.e.log.event("no beat").Err(err).Send()
+		return
+	}
+	var to []dandeliongap.EdgeMember
+	for vm, m := range c.members {
+		if vm != c.e.opt.Settings.VM {
+			to = append(to, m)
+		}
+	}
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	for _, m := range to[:min(len(to), gossipPeers)] {
+		addr, err := net.ResolveUDPAddr("udp", m.Gossip)
+		if err == nil {
+			_, err = c.udp.WriteToUDP(text, addr)
+		}
+		if err != nil {
+			c.e.stats.add("GossipUnsent")
+		}
+	}
+}
+
+// memberObject names the registration of a VM.
+func memberObject(vm dandeliongap.VMName) dandeliongap.ObjectName {
+	return dandeliongap.ObjectName(fmt.Sprintf("%s/%s", dandeliongap.KindMembers, vm))
+}
--- /dev/null
+++ b/dgedge/edge.go
@@ -0,0 +1,226 @@
+package dgedge
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbackend"
+	"dandeliongap.example/dandeliongap/dgbalance"
+	"dandeliongap.example/dandeliongap/dgbudget"
+	"dandeliongap.example/dandeliongap/dgroute"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// Dialect has the names and forms of what callers and backend servers exchange
+// with the tier.
+type Dialect struct {
+	Backend dgbackend.HeaderNames
+	Parts   string // header of a merged answer: the stamps of its parts
+	Missing string // header of a merged answer: shards that are not in it
+	Ready   string // path of the readiness check
+	Names   string // path of the directory
+	// Addresses returns the body of a directory answer.
+	Addresses func(addrs []string, keep time.Duration) []byte
+}
+
+// Options configure an Edge.
+type Options struct {
+	Settings Settings
+	Store    dandeliongap.EdgeStore
+	Dialect  Dialect
+	Log      io.Writer
+}
+
+// Edge is one running VM of the tier.
+type Edge struct {
+	opt   Options
+	start time.Time
+	boot  int64
+	log   *eventLog
+	stats stats
+
+	forward *dgbackend.Forwarder
+
+	mu     sync.Mutex // guards what requests share
+	bal    *dgbalance.Balancer
+	budget *dgbudget.Budget
+
+	view    atomic.Pointer[view]
+	control *control
+	leaving atomic.Bool
+	closing atomic.Bool // no new requests
+
+	active  activeSet
+	entry   *callerListener
+	servers []*fasthttp.Server
+	stop    chan struct{}
+	wg      conc.WaitGroup
+}
+
+// view is what requests need from control state at one moment. It is immutable.
+type view struct {
+	table *dgroute.Table // nil: no configuration yet
+	ready bool           // configuration and replicas are known
+	names []string       // addresses for callers
+	stale bool           // the store has not answered for a while
+}
+
+// Start starts a VM. It serves as soon as the store has answered.
+func Start(o Options) (*Edge, error) {
+	now := time.Now()
+	seed := rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64()))
+	e := &Edge{
+		opt: o, start: now, boot: now.UnixNano(),
+		log:     newEventLog(o.Log, o.Settings.VM),
+		forward: dgbackend.NewForwarder(o.Dialect.Backend),
+		bal:     dgbalance.New(o.Settings.VM, seed),
+		stop:    make(chan struct{}),
+	}
+	e.budget = dgbudget.New(dgbudget.Options{
+		Ratio: o.Settings.RetryRatio, Slack: o.Settings.RetrySlack, Window: o.Settings.RetryWindow, First: o.Settings.First,
+	})
+	e.view.Store(&view{})
+	e.stats.init()
+	if err := e.listen(); err != nil {
+		e.log.close()
+		return nil, trace.Wrap(err)
+	}
+	e.log.event("start").Str("Zone", string(o.Settings.Zone)).Str("Entry", o.Settings.Entry).Bool("First", o.Settings.First).Send()
+	e.control = newControl(e)
+	e.wg.Go(e.control.run)
+	e.wg.Go(e.sweep)
+	return e, nil
+}
+
+// now returns the time since the start, on the steady clock.
+func (e *Edge) now() dandeliongap.Instant { return dandeliongap.Instant(time.Since(e.start)) }
+
+// listen opens all listeners and starts to serve them.
+func (e *Edge) listen() error {
+	l, err := net.Listen("tcp", e.opt.Settings.Entry)
+	if err != nil {
+		return err
+	}
+	e.entry = &callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return e.limits() }}
+	e.serve(e.entry, &fasthttp.Server{
+		Handler:                       e.handle,
+		ReadBufferSize:                entryHeaderBytes,
+		MaxRequestBodySize:            entryBodyBytes,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		NoDefaultContentType:          true,
+		DisableHeaderNamesNormalizing: false,
+		ErrorHandler:                  e.badRequest,
+		Logger:                        quietLogger{},
+	})
+	for addr, h := range map[string]fasthttp.RequestHandler{
+		e.opt.Settings.Ready: e.handleReady,
+		e.opt.Settings.Names: e.handleNames,
+		e.opt.Settings.Vars:  e.handleVars,
+	} {
+		if addr == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		e.serve(l, &fasthttp.Server{
+			Handler: h, NoDefaultServerHeader: true, IdleTimeout: sideIdle, ReadTimeout: sideIdle, Logger: quietLogger{},
+		})
+	}
+	return nil
+}
+
+const (
+	// entryHeaderBytes bounds the headers of a request where the configuration
+	// names no lower limit.
+	entryHeaderBytes = 32 << 10
+	// entryBodyBytes bounds the body likewise.
+	entryBodyBytes = 4 << 20
+	// sideIdle bounds connections to the readiness, directory and metrics addresses.
+	sideIdle = 20 * time.Second
+)
+
+func (e *Edge) serve(l net.Listener, s *fasthttp.Server) {
+	e.servers = append(e.servers, s)
+	e.wg.Go(func() {
+		if err := s.Serve(l); err != nil {
+			e.log.event("listener ended").Str("Address", l.Addr().String()).Err(err).Send()
+		}
+	})
+}
+
+func (e *Edge) limits() dandeliongap.CallerLimits {
+	if t := e.view.Load().table; t != nil {
+		return t.Config.Limits
+	}
+	return dandeliongap.CallerLimits{}
+}
+
+// Phases of a stop, as shares of the shutdown limit.
+const (
+	stopStaysOpen = 0.53 // callers may hold the address that long
+	stopRefuses   = 0.75 // from here on new requests are refused
+	stopEnds      = 0.87 // requests under way end until here
+)
+
+// Leave ends the VM gracefully: callers are sent elsewhere, requests under way
+// are finished, and those that still arrive are served as long as they can be
+// finished. It returns when the process may end.
+func (e *Edge) Leave() {
+	begin := time.Now()
+	limit := e.opt.Settings.ShutdownLimit
+	at := func(share float64) time.Time { return begin.Add(time.Duration(share * float64(limit))) }
+	e.leaving.Store(true)
+	e.control.poke()
+	e.log.event("stop").Int("Active", e.active.len()).Send()
+	quiet := 0
+	for time.Now().Before(at(stopEnds)) {
+		time.Sleep(leaveTick)
+		if time.Now().After(at(stopRefuses)) {
+			e.closing.Store(true)
+		}
+		if e.active.len() > 0 {
+			quiet = 0
+			continue
+		}
+		quiet++
+		if time.Now().After(at(stopStaysOpen)) && quiet > leaveQuiet {
+			break
+		}
+	}
+	e.log.event("stopped").Int("Active", e.active.len()).Dur("Took", time.Since(begin)).Send()
+}
+
+const (
+	leaveTick  = 50 * time.Millisecond
+	leaveQuiet = 8 // ticks without a request after which a leaving VM ends
+)
+
+// Close ends everything at once and waits.
+func (e *Edge) Close() error {
+	close(e.stop)
+	for _, s := range e.servers {
+		_ = s.Shutdown() // its error is that of a listener that is closed already
+	}
+	err := e.forward.Close()
+	e.control.close()
+	e.wg.Wait()
+	e.log.close()
+	return trace.Wrap(err)
+}
+
+// quietLogger drops what the HTTP server says of single connections; the caller
+// sees the status, and the counters show the number.
+type quietLogger struct{}
+
+func (quietLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/dgedge/run.go
@@ -0,0 +1,332 @@
+package dgedge
+
+import (
+	"errors"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbackend"
+	"dandeliongap.example/dandeliongap/dgbalance"
+	"dandeliongap.example/dandeliongap/dggather"
+	"github.com/valyala/fasthttp"
+)
+
+// budgetRetry is the wait after an extra request for which there was no budget.
+const budgetRetry = 20 * time.Millisecond
+
+// attempt is one sub-request under way.
+type attempt struct {
+	shard  int
+	extra  bool
+	ticket dgbalance.Ticket
+	call   dgbackend.Call
+}
+
+// result is the end of an attempt.
+type result struct {
+	a     *attempt
+	reply dgbackend.Reply
+}
+
+// course is a request that is under way.
+type course struct {
+	e       *Edge
+	c       *call
+	g       *dggather.Gather
+	results chan result
+	over    chan struct{} // closed when nobody takes results any more
+
+	attempts []*attempt
+	used     [][]dandeliongap.InstanceID // replicas per shard
+	counted  []bool                      // first requests in the budget
+	parts    [][]byte
+	stamps   []string
+	single   *fasthttp.Response // answer to a request without shards
+	fallback *fasthttp.Response // a replica's own failure, if nothing better comes
+	sends    []dggather.Send
+	extras   int
+	verdict  dggather.Verdict
+	why      string // of the last lost attempt
+}
+
+// run serves a request and writes its answer.
+func (e *Edge) run(ctx *fasthttp.RequestCtx, c *call, w *waiting) {
+	e.mu.Lock()
+	typical := e.bal.Typical(c.route.Name, 0)
+	e.mu.Unlock()
+	co := &course{
+		e: e, c: c,
+		g:       dggather.New(dggather.Options{Route: c.route, Shards: c.shards, Arrived: c.arrived, Deadline: c.deadline, Typical: typical}),
+		results: make(chan result, 2*len(c.shards)),
+		over:    make(chan struct{}),
+		used:    make([][]dandeliongap.InstanceID, len(c.shards)),
+		counted: make([]bool, len(c.shards)),
+	}
+	left := !co.loop(w)
+	close(co.over)
+	if left {
+		co.abandon()
+		ctx.SetConnectionClose()
+	}
+	co.write(ctx)
+	co.release()
+	took := e.now().Sub(c.arrived)
+	co.finish(ctx.Response.StatusCode(), took, left)
+}
+
+// loop drives the request to its end; false if the caller left.
+func (co *course) loop(w *waiting) bool {
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		var wake dandeliongap.Instant
+		now := co.e.now()
+		co.sends, co.verdict, wake = co.g.Step(now, co.sends[:0])
+		if co.verdict != dggather.Open {
+			return true
+		}
+		if len(co.sends) > 0 {
+			for _, s := range co.sends {
+				co.send(s)
+			}
+			continue
+		}
+		t.Reset(max(0, wake.Sub(now)))
+		select {
+		case r := <-co.results:
+			co.take(r)
+		case <-t.C:
+		case <-w.gone:
+			return false
+		}
+	}
+}
+
+// send starts one attempt, or tells the decisions why it cannot.
+func (co *course) send(s dggather.Send) {
+	e, service := co.e, co.c.shards[s.Shard]
+	now := e.now()
+	e.mu.Lock()
+	if s.Extra && !e.budget.Take(now, service) {
+		e.mu.Unlock()
+		e.stats.add("NoBudget")
+		co.g.Unsent(now, s.Shard, now.Add(budgetRetry))
+		return
+	}
+	ticket, retry, err := e.bal.Pick(now, co.c.route.Name, service, co.used[s.Shard])
+	switch {
+	case err != nil && s.Extra:
+		e.budget.Return(now, service)
+	case err == nil && !s.Extra && !co.counted[s.Shard]:
+		co.counted[s.Shard] = true
+		e.budget.First(now, service)
+	}
+	e.mu.Unlock()
+	if err != nil {
+		co.g.Unsent(now, s.Shard, retry)
+		return
+	}
+	a := &attempt{shard: s.Shard, extra: s.Extra, ticket: ticket}
+	co.attempts = append(co.attempts, a)
+	co.used[s.Shard] = append(co.used[s.Shard], ticket.Instance.ID)
+	co.g.Sent(now, s.Shard)
+	e.stats.add("Attempts")
+	if s.Extra {
+		co.extras++
+		e.stats.add("Extra")
+		e.log.request("extra", co.c.id).Str("Rule", "G2").Str("Service", string(service)).Str("Replica", string(ticket.Instance.ID)).
+			Float64("Cost", ticket.Cost).Int("Usable", ticket.Usable).Dur("After", now.Sub(co.c.arrived)).Send()
+	}
+	go co.attempt(a)
+}
+
+// attempt carries one attempt out.
+func (co *course) attempt(a *attempt) {
+	e := co.e
+	deadline := e.start.Add(time.Duration(co.c.deadline))
+	reply := e.forward.Send(&a.call, &a.ticket.Instance, co.c.forward, deadline)
+	now := e.now()
+	e.mu.Lock()
+	e.bal.Done(now, co.c.route.Name, &a.ticket, co.tells(&reply, now))
+	if reply.Kind == dgbackend.ReplyUnreached && a.extra {
+		e.budget.Return(now, co.c.shards[a.shard])
+	}
+	e.mu.Unlock()
+	select {
+	case co.results <- result{a, reply}:
+	case <-co.over:
+		if reply.Resp != nil {
+			fasthttp.ReleaseResponse(reply.Resp)
+		}
+	}
+}
+
+// tells maps a reply to what it tells about the replica.
+func (co *course) tells(r *dgbackend.Reply, now dandeliongap.Instant) dgbalance.Result {
+	switch r.Kind {
+	case dgbackend.ReplyAnswer:
+		if r.Resp.StatusCode() >= fasthttp.StatusInternalServerError {
+			return dgbalance.Erred
+		}
+		return dgbalance.Answered
+	case dgbackend.ReplyNotRun:
+		return dgbalance.Refused
+	case dgbackend.ReplyUnreached:
+		if errors.Is(r.Err, dandeliongap.ErrNotRun) {
+			return dgbalance.Abandoned
+		}
+		return dgbalance.Unreached
+	default:
+		if errors.Is(r.Err, os.ErrDeadlineExceeded) || now >= co.c.deadline {
+			return dgbalance.Abandoned
+		}
+		return dgbalance.Erred
+	}
+}
+
+// take gives a result to the decisions.
+func (co *course) take(r result) {
+	now := co.e.now()
+	switch {
+	case r.reply.Kind != dgbackend.ReplyAnswer:
+		co.lost(now, r, r.reply.Kind != dgbackend.ReplyUnreached, r.reply.Kind == dgbackend.ReplyUnknown)
+	case co.usable(r.reply.Resp):
+		co.accept(r)
+	default:
+		co.keep(r.reply.Resp)
+		co.lost(now, r, true, true)
+	}
+}
+
+// usable tells whether an answer ends its sub-request.
+func (co *course) usable(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	stamped := len(resp.Header.Peek(co.e.opt.Dialect.Backend.Stamp)) > 0
+	if status/100 == 2 {
+		return stamped
+	}
+	return !co.c.merged() && stamped && status < fasthttp.StatusInternalServerError && !promises(status)
+}
+
+// promises tells whether a status says that the request did not run. A replica's
+// own answer with such a status is not passed on: it did run.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (co *course) accept(r result) {
+	resp := r.reply.Resp
+	if !co.g.Part(r.a.shard) {
+		fasthttp.ReleaseResponse(resp)
+		return
+	}
+	if !co.c.merged() {
+		co.single = resp
+		return
+	}
+	co.parts = append(co.parts, append([]byte(nil), resp.Body()...))
+	co.stamps = append(co.stamps, string(resp.Header.Peek(co.e.opt.Dialect.Backend.Stamp)))
+	fasthttp.ReleaseResponse(resp)
+}
+
+// keep holds a replica's failure for the caller of a request without shards.
+func (co *course) keep(resp *fasthttp.Response) {
+	if co.c.merged() || co.fallback != nil || promises(resp.StatusCode()) || len(resp.Header.Peek(co.e.opt.Dialect.Backend.Stamp)) == 0 || resp.StatusCode()/100 == 2 {
+		fasthttp.ReleaseResponse(resp)
+		return
+	}
+	co.fallback = resp
+}
+
+func (co *course) lost(now dandeliongap.Instant, r result, reached, ran bool) {
+	co.g.Lost(now, r.a.shard, reached, ran)
+	co.why = "not run"
+	switch {
+	case r.reply.Err != nil:
+		co.why = r.reply.Err.Error()
+	case ran:
+		co.why = "failed"
+	}
+	co.e.stats.add("Lost")
+	co.e.log.request("attempt lost", co.c.id).Str("Rule", "G3").Str("Service", string(co.c.shards[r.a.shard])).
+		Str("Replica", string(r.a.ticket.Instance.ID)).Str("Address", r.a.ticket.Instance.Address).
+		Bool("Reached", reached).Bool("Ran", ran).Str("Why", co.why).Dur("After", now.Sub(r.a.ticket.Start)).Send()
+}
+
+// abandon cancels the attempts under way after the caller left.
+func (co *course) abandon() {
+	for _, a := range co.attempts {
+		a.call.Cancel()
+	}
+}
+
+func (co *course) release() {
+	for _, resp := range []*fasthttp.Response{co.single, co.fallback} {
+		if resp != nil {
+			fasthttp.ReleaseResponse(resp)
+		}
+	}
+}
+
+// write writes the final answer.
+func (co *course) write(ctx *fasthttp.RequestCtx) {
+	switch {
+	case co.single != nil:
+		passOn(ctx, co.single)
+	case co.verdict == dggather.Complete || co.verdict == dggather.Partial:
+		in, total := co.g.Coverage()
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		ctx.Response.Header.Set(co.e.opt.Dialect.Backend.RequestID, co.c.id)
+		ctx.Response.Header.Set(co.e.opt.Dialect.Parts, strings.Join(co.stamps, ", "))
+		ctx.Response.Header.Set(co.e.opt.Dialect.Missing, strconv.Itoa(total-in))
+		ctx.SetBody(dggather.Merge(co.parts, co.c.route.Top))
+	case co.fallback != nil:
+		passOn(ctx, co.fallback)
+	case co.verdict == dggather.NotRun:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(notRunRetry))
+	case co.verdict == dggather.Late:
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+	}
+}
+
+// notRunRetry is the wait after all replicas refused: about one service time.
+const notRunRetry = 50 * time.Millisecond
+
+// passOn writes a replica's answer unchanged, but for what concerns the
+// connection to the replica.
+func passOn(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+	h := &ctx.Response.Header
+	resp.Header.CopyTo(h)
+	for name := range connectionHeaders {
+		h.Del(name)
+	}
+	h.ResetConnectionClose()
+	ctx.Response.SetBodyRaw(append([]byte(nil), resp.Body()...))
+}
+
+// finish records the end of a request.
+func (co *course) finish(status int, took time.Duration, left bool) {
+	in, total := co.g.Coverage()
+	verdict := co.verdict.String()
+	if left {
+		verdict = "caller left"
+	}
+	co.e.stats.add("Done." + strconv.Itoa(status))
+	if status == fasthttp.StatusOK {
+		co.e.stats.observe(string(co.c.route.Name), took)
+	}
+	co.e.log.request("done", co.c.id).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
+		Str("Verdict", verdict).Int("Status", status).Int("Merged", in).Int("Total", total).
+		Int("Attempts", len(co.attempts)).Int("Extra", co.extras).Str("Why", co.why).
+		Dur("Left", co.c.deadline.Sub(co.c.arrived)-took).Dur("Took", took).Send()
+}
--- a/dgnode/hangup.go
+++ b/dgnode/hangup.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"dandeliongap.example/dandeliongap/dghttp"
 )
 
 // hangUpEvery is the time between two looks at a caller's connection. A caller
@@ -34,7 +36,7 @@
 			case <-ctx.Done():
 				return
 			case <-tick.C:
-				if closedByPeer(raw) {
+				if dghttp.ClosedByPeer(raw) {
 					cancel()
 					return
 				}
@@ -46,14 +48,3 @@
 		<-done
 	}
 }
-
-// closedByPeer looks at the next byte of the socket without taking it.
-func closedByPeer(raw syscall.RawConn) bool {
-	closed := false
-	err := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err == syscall.ECONNRESET
-	})
-	return closed || err != nil
-}
--- /dev/null
+++ b/dgpresence/dgpresence.go
@@ -0,0 +1,105 @@
+// Package dgpresence decides which VMs are alive. Each VM counts a beat up and
+// sends its own beat and those it knows to others; a VM whose beat stops rising
+// is taken as lost. No clock of another VM is compared with the own one.
+//
+// Rules:
+//
+//	V1  A VM is present while its beat rose within LostAfter, as seen by any path.
+//	V2  A higher boot replaces a lower one of the same name; a lower one is ignored.
+//	V3  A process that was paused itself adds its pause to the age that it allows.
+package dgpresence
+
+import (
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// LostAfter is the age of the last beat at which a VM counts as lost: four beats
+// and the time that a datagram may be relayed.
+const LostAfter = 1200 * time.Millisecond
+
+// BeatEvery is the time between two beats.
+const BeatEvery = 250 * time.Millisecond
+
+// Beat is what one VM says of itself, in the form in which it is sent.
+type Beat struct {
+	VM      dandeliongap.VMName
+	Boot    int64 // Unix nanoseconds of the start of the process
+	Count   uint64
+	Serving bool // accepts new callers
+}
+
+type seen struct {
+	beat  Beat
+	heard dandeliongap.Instant
+}
+
+// View is what one VM knows of the others. It is not safe for concurrent use.
+type View struct {
+	self  Beat
+	peers map[dandeliongap.VMName]*seen
+	last  dandeliongap.Instant
+}
+
+// New returns the view of a VM that starts.
+func New(vm dandeliongap.VMName, boot int64) *View {
+	return &View{self: Beat{VM: vm, Boot: boot}, peers: make(map[dandeliongap.VMName]*seen)}
+}
+
+// Tick counts the own beat up and returns what to send: the own beat first, then
+// those of the VMs that are present.
+func (v *View) Tick(now dandeliongap.Instant, serving bool) []Beat {
+	if pause := now.Sub(v.last) - BeatEvery; v.last > 0 && pause > BeatEvery {
+		for _, p := range v.peers {
+			p.heard = p.heard.Add(pause)
+		}
+	}
+	v.last = now
+	v.self.Count++
+	v.self.Serving = serving
+	out := []Beat{v.self}
+	for _, p := range v.peers {
+		if now.Sub(p.heard) <= LostAfter {
+			out = append(out, p.beat)
+		}
+	}
+	return out
+}
+
+// Hear takes in the beats of a message.
+func (v *View) Hear(now dandeliongap.Instant, beats []Beat) {
+	for _, b := range beats {
+		if b.VM == v.self.VM || b.VM == "" {
+			continue
+		}
+		p := v.peers[b.VM]
+		if p == nil {
+			p = &seen{}
+			v.peers[b.VM] = p
+		}
+		if b.Boot < p.beat.Boot || b.Boot == p.beat.Boot && b.Count <= p.beat.Count {
+			continue
+		}
+		p.beat, p.heard = b, now
+	}
+}
+
+// Present tells whether a VM other than this one is alive (V1), and whether it
+// accepts new callers.
+func (v *View) Present(now dandeliongap.Instant, vm dandeliongap.VMName) (alive, serving bool) {
+	p := v.peers[vm]
+	if p == nil || now.Sub(p.heard) > LostAfter {
+		return false, false
+	}
+	return true, p.beat.Serving
+}
+
+// Age returns the time since a VM was heard of; false if it never was.
+func (v *View) Age(now dandeliongap.Instant, vm dandeliongap.VMName) (time.Duration, bool) {
+	p := v.peers[vm]
+	if p == nil {
+		return 0, false
+	}
+	return now.Sub(p.heard), true
+}
--- a/errors.go
+++ b/errors.go
@@ -20,6 +20,11 @@
 	ErrUnauthorized = errors.New("unauthorized")
 	// ErrTooLarge reports a value over the platform's or a listener's limit.
 	ErrTooLarge = errors.New("too large")
+	// ErrHistoryGone reports a watch from a version whose changes the store no
+	// longer has; the collection must be listed again.
+	ErrHistoryGone = errors.New("history gone")
+	// ErrNoReplica reports a service without a replica that may be used now.
+	ErrNoReplica = errors.New("no usable replica")
 	// ErrClosed reports a call on something that was closed.
 	ErrClosed = errors.New("closed")
 )
