Keep half of each replica's connections, a margin in the retry budget, and fewer store calls

Extra requests were up to 1% above the limit: a VM also counts checks of routes as first requests, and an extra request may arrive up to a connect after it was reserved. Each registration of a replica cost a store call of each VM.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/valyala/fasthttp"
 )
 
@@ -30,9 +30,6 @@
 	freshFor = time.Second
 	// connectTimeout bounds a connect: a few round trips of a loaded server.
 	connectTimeout = 700 * time.Millisecond
-	// silentAfter is the time after which a connection whose peer does not
-	// acknowledge counts as lost.
-	silentAfter = 2 * time.Second
 	// streamedBody is the size from which a request body is written while the
 	// answer is awaited, since a server may answer before it has read the body.
 	streamedBody = 16 << 10
@@ -229,7 +226,7 @@
 		return nil, err
 	}
 	tcp := nc.(*net.TCPConn)
-	limitSilence(tcp)
+	dghttp.LimitSilence(tcp)
 	cn, err := newConn(tcp)
 	if err != nil {
 		_ = tcp.Close()
@@ -237,18 +234,6 @@
 	return cn, err
 }
 
-// limitSilence makes the kernel give up a connection whose peer is silent. A
-// failure only makes that slower.
-func limitSilence(tcp *net.TCPConn) {
-	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: silentAfter, Interval: silentAfter / 2, Count: 2})
-	if raw, err := tcp.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			const userTimeout = 18 // TCP_USER_TIMEOUT, which package syscall lacks
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(silentAfter/time.Millisecond))
-		})
-	}
-}
-
 func (f *Forwarder) count(n *int64) {
 	f.mu.Lock()
 	*n++
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -7,7 +7,9 @@
 //	R1  A replica that drains, lies in a zone that operators took out, or was used
 //	    by the same request before is not used.
 //	R2  This VM opens at most its share of a replica's connections. The shares of
-//	    all registered VMs add up to no more than the replica accepts.
+//	    all registered VMs add up to no more than half of what the replica accepts:
+//	    connections of VMs that lost power stay open at the replica, and their
+//	    successors need as many again.
 //	R3  Of the usable replicas, the one with the least cost is used: its slowness
 //	    times its requests under way, divided by its share of successes. Equal
 //	    costs are decided at random.
@@ -148,13 +150,11 @@
 // share returns this VM's connections of a replica (R2). Where there are fewer
 // connections than VMs, a hash decides which VMs have one.
 func (b *Balancer) share(id dandeliongap.InstanceID, connections int, vms []dandeliongap.VMName) int {
-	n := len(vms)
+	n := max(1, len(vms))
 	if connections <= 0 {
 		return math.MaxInt
 	}
-	if n <= 1 {
-		return connections
-	}
+	connections = max(1, connections/2)
 	share, rest := connections/n, connections%n
 	if rest == 0 {
 		return share
--- a/dgbudget/dgbudget.go
+++ b/dgbudget/dgbudget.go
@@ -8,10 +8,12 @@
 //
 //	U1  The extra requests of a VM to a service in any window are at most Ratio
 //	    times the first requests of that VM to the service in the window, plus the
-//	    VM's share of Slack.
+//	    VM's share of Slack, times Spent.
 //	U2  The share of Slack is Slack divided by the number of VMs that were
 //	    registered at any time in the last window.
-//	U3  A process that replaces another one has no share of Slack in its first
+//	U3  An extra request may reach its replica ArrivalDelay after it was reserved, so
+//	    that it counts that much longer.
+//	U4  A process that replaces another one has no share of Slack in its first
 //	    window: its predecessor may have spent it.
 package dgbudget
 
@@ -24,12 +26,16 @@
 // buckets is the number of parts that a window is counted in.
 const buckets = 20
 
+// ArrivalDelay is the longest time between the reservation of an extra request
+// and its arrival: that of a connect that succeeds late.
+const ArrivalDelay = time.Second
+
 // Options configure a Budget.
 type Options struct {
 	Ratio  float64       // extra requests for each first one
 	Slack  float64       // extra requests of all VMs in a window
 	Window time.Duration // of time that the limit holds for
-	First  bool          // the whole tier starts: there is no predecessor (U3)
+	First  bool          // the whole tier starts: there is no predecessor (U4)
 	Start  dandeliongap.Instant
 }
 
@@ -47,8 +53,15 @@
 	first, extra float64
 }
 
-// window is one more bucket than the window has, so that it is covered wholly.
-type window [buckets + 1]bucket
+// Spent is the part of the limit that is used. What a VM counts as first requests
+// includes some that do not count for the limit, such as checks of routes.
+const Spent = 0.9
+
+// spareBuckets cover ArrivalDelay in windows of at least four seconds.
+const spareBuckets = 6
+
+// window has room for the window, the delay and the bucket that both begin in.
+type window [buckets + spareBuckets]bucket
 
 // New returns a budget for one VM.
 func New(o Options) *Budget {
@@ -111,10 +124,11 @@
 		return slack
 	}
 	slot := b.slot(now)
+	oldest := min(slot-b.slot(now.Add(-b.opt.Window-ArrivalDelay)), buckets+spareBuckets-1)
 	var first, extra float64
 	for i := range w {
 		age := slot - w[i].slot
-		if age < 0 || age > buckets {
+		if age < 0 || age > oldest {
 			continue
 		}
 		extra += w[i].extra
@@ -122,7 +136,7 @@
 			first += w[i].first
 		}
 	}
-	return b.opt.Ratio*first + slack - extra
+	return Spent*b.opt.Ratio*first + slack - extra
 }
 
 func (b *Budget) slack(now dandeliongap.Instant) float64 {
@@ -132,5 +146,5 @@
 	if now.Sub(b.since) > b.opt.Window {
 		b.highest = b.members
 	}
-	return b.opt.Slack / float64(b.highest)
+	return Spent * b.opt.Slack / float64(b.highest)
 }
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -21,7 +22,7 @@
 
 // storeStaleAfter is the age of the store's last answer at which a VM may have
 // missed a configuration: a watch ends sooner than that.
-const storeStaleAfter = watchWait + 2*time.Second
+const storeStaleAfter = waitMost + 5*time.Second
 
 // forgetAfter is the age of a lost VM's last beat at which its registration is
 // removed; a VM that was only paused registers again.
@@ -31,6 +32,7 @@
 type batch struct {
 	kind    string
 	full    bool // the whole collection
+	looked  bool // asked for after a hint: all changes up to version are in
 	objects []dandeliongap.Object
 	version dandeliongap.Version
 	err     error
@@ -60,6 +62,16 @@
 	lostKind map[string]bool                              // kinds whose last call failed
 	recheck  dandeliongap.Instant                         // next expiry in the catalog
 
+	followers map[string]*follower
+	seen      map[string]dandeliongap.Version // newest change of a kind that is in force here
+	others    map[string]dandeliongap.Version // the same at other VMs
+	behind    map[string]dandeliongap.Instant // since when others have more
+	present   atomic.Int64                    // other VMs that are alive
+	careful   atomic.Int64                    // instant until which watches wait shortly
+
+	backMu sync.Mutex
+	back   chan struct{} // closed when the store has answered
+
 	regMu      sync.Mutex
 	registered bool
 }
@@ -79,6 +91,12 @@
 		presence: dgpresence.New(e.opt.Settings.VM, e.boot),
 		since:    make(map[dandeliongap.VMName]dandeliongap.Instant),
 		lostKind: make(map[string]bool),
+
+		followers: make(map[string]*follower),
+		seen:      make(map[string]dandeliongap.Version),
+		others:    make(map[string]dandeliongap.Version),
+		behind:    make(map[string]dandeliongap.Instant),
+		back:      make(chan struct{}),
 	}
 }
 
@@ -89,7 +107,9 @@
 func (c *control) run() {
 	c.listenGossip()
 	for _, kind := range kinds {
-		c.wg.Go(func() { c.follow(kind) })
+		f := &follower{c: c, kind: kind, hint: make(chan struct{}, 1)}
+		c.followers[kind] = f
+		c.wg.Go(f.run)
 	}
 	c.wg.Go(c.register)
 	tick := time.NewTicker(dgpresence.BeatEvery)
@@ -102,7 +122,7 @@
 		case b := <-c.batches:
 			c.apply(b)
 		case beats := <-c.beats:
-			c.presence.Hear(c.e.now(), beats)
+			c.hearBeats(beats)
 		case <-c.poked:
 			c.publish()
 			c.beat()
@@ -147,16 +167,63 @@
 	case dandeliongap.KindMembers:
 		c.applyMembers(now, b)
 	}
+	first := !c.known[b.kind]
 	c.known[b.kind] = true
-	c.refresh()
+	c.note(b)
+	if first || b.full || len(b.objects) > 0 {
+		c.refresh()
+	}
+}
+
+// note records which changes are in force here, for the other VMs (F2).
+func (c *control) note(b batch) {
+	newest := c.seen[b.kind]
+	if b.full || b.looked {
+		newest = max(newest, b.version)
+	}
+	for _, o := range b.objects {
+		newest = max(newest, o.Version)
+	}
+	c.seen[b.kind] = newest
 }
 
+// hearBeats takes in the beats of a datagram.
+func (c *control) hearBeats(beats []dgpresence.Beat) {
+	c.presence.Hear(c.e.now(), beats)
+	for _, b := range beats {
+		for kind, v := range b.Seen {
+			c.others[kind] = max(c.others[kind], v)
+		}
+	}
+}
+
+// catchUp makes a follower look when other VMs have been ahead for longer than a
+// change takes to arrive here (F2).
+func (c *control) catchUp(now dandeliongap.Instant) {
+	for kind, f := range c.followers {
+		switch {
+		case c.others[kind] <= c.seen[kind] || !c.known[kind]:
+			delete(c.behind, kind)
+		case c.behind[kind] == 0:
+			c.behind[kind] = now
+		case now.Sub(c.behind[kind]) > behindMost:
+			c.behind[kind] = now
+			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Seen", uint64(c.seen[kind])).Uint64("Others", uint64(c.others[kind])).Send()
+			f.push()
+		}
+	}
+}
+
+// behindMost is above the time between two answers of a watch that brings news.
+const behindMost = 450 * time.Millisecond
+
 func (c *control) storeLost(b batch) {
 	c.catalog.Lost()
 	if !c.lostKind[b.kind] {
 		c.e.log.event("store lost").Str("Kind", b.kind).Dur("Age", c.e.now().Sub(c.heard)).Err(b.err).Send()
 	}
 	c.lostKind[b.kind] = true
+	c.careful.Store(int64(c.e.now().Add(waitCareful)))
 }
 
 func (c *control) storeRegained(now dandeliongap.Instant, kind string) {
@@ -320,11 +387,17 @@
 	if v.ready && !e.leaving.Load() {
 		v.names = append(v.names, e.opt.Settings.Entry)
 	}
+	present := int64(0)
 	for vm, m := range c.members {
-		if _, serving := c.presence.Present(now, vm); serving {
+		alive, serving := c.presence.Present(now, vm)
+		if serving {
 			v.names = append(v.names, m.Entry)
 		}
+		if alive {
+			present++
+		}
 	}
+	c.present.Store(present)
 	slices.Sort(v.names)
 	if old := e.view.Load(); old.ready != v.ready || !slices.Equal(old.names, v.names) {
 		e.log.event("directory changed").Bool("Ready", v.ready).Strs("Names", v.names).Send()
@@ -336,6 +409,7 @@
 func (c *control) tick() {
 	now := c.e.now()
 	c.beat()
+	c.catchUp(now)
 	if c.recheck > 0 && now >= c.recheck {
 		c.refresh()
 	} else {
@@ -425,7 +499,7 @@
 // beat sends the own beat and those known to some other VMs.
 func (c *control) beat() {
 	now := c.e.now()
-	beats := c.presence.Tick(now, c.e.serving())
+	beats := c.presence.Tick(now, c.e.serving(), c.seen)
 	if c.udp == nil {
 		return
 	}
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -11,63 +11,174 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A watch whose answer was
-	// lost is noticed that late.
-	watchWait = 3 * time.Second
-	// callTimeout bounds calls to the store, watches beyond their wait. Slow answers
-	// of the store took 50 times its usual 4 ms.
+	// waitFew is the wait of a watch on a VM that hears no other one, or whose store
+	// failed a short time ago: a change that a watch missed is seen that late.
+	waitFew = 3 * time.Second
+	// waitEach is added for each VM that is present: the watches of all VMs end at
+	// about this distance, and one that brings news makes the others look (F2).
+	waitEach = 1500 * time.Millisecond
+	// waitMost is below the 30 s that stores allow.
+	waitMost = 20 * time.Second
+	// waitCareful is how long after a failure of the store waits stay short.
+	waitCareful = 10 * time.Second
+
+	// callTimeout bounds calls to the store, watches beyond their wait. A slow store
+	// takes 50 times its usual 4 ms.
 	callTimeout = 1200 * time.Millisecond
-	// retryFirst and retryMost bound the wait between calls to a store that fails.
-	// Refused calls count against its rate.
-	retryFirst = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	// retryOnce is the wait after a first failure, which may be that of one
+	// connection only.
+	retryOnce = 50 * time.Millisecond
+	// probeEvery is the time between the calls of the one follower that looks
+	// whether the store is back; refused calls count against its rate.
+	probeEvery = 250 * time.Millisecond
+	// probeOthers is the longest wait of the other followers for it.
+	probeOthers = 1500 * time.Millisecond
 	// registerEvery is the time between two looks at the own registration.
 	registerEvery = 200 * time.Millisecond
 )
 
-// follow keeps up with one kind of objects: a list, then changes. Changes that
-// the store no longer has are made up for by a new list.
-func (c *control) follow(kind string) {
-	var since dandeliongap.Version
-	wait := retryFirst
-	for c.ctx.Err() == nil {
-		b := c.fetch(kind, since)
+// gather is how long a follower waits after a change, so that the next answer
+// brings several at once. Calls to the store are limited and priced.
+var gather = map[string]time.Duration{
+	dandeliongap.KindRoutes:    60 * time.Millisecond,
+	dandeliongap.KindInstances: 250 * time.Millisecond,
+	dandeliongap.KindZonesOut:  60 * time.Millisecond,
+	dandeliongap.KindMembers:   200 * time.Millisecond,
+}
+
+// follower keeps up with one kind of objects: a list, then changes.
+//
+// Rules:
+//
+//	F1  Changes that the store no longer has are made up for by a new list.
+//	F2  A VM that learns from another one that the store has something newer ends
+//	    its watch and looks at once. Watches may therefore wait for long.
+//	F3  While the store fails, one follower of a VM looks whether it is back, and the
+//	    others wait for that one.
+type follower struct {
+	c     *control
+	kind  string
+	since dandeliongap.Version
+	hint  chan struct{} // F2
+	fails int
+}
+
+func (f *follower) run() {
+	for f.c.ctx.Err() == nil {
+		b := f.fetch()
 		if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
-			c.e.log.event("history gone").Str("Kind", kind).Uint64("Since", uint64(since)).Send()
-			since = 0
+			f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
+			f.since = 0
 			continue
 		}
 		select {
-		case c.batches <- b:
-		case <-c.ctx.Done():
+		case f.c.batches <- b:
+		case <-f.c.ctx.Done():
 			return
 		}
-		if b.err == nil {
-			since, wait = b.version, retryFirst
+		if b.err != nil {
+			f.fails++
+			f.pause()
 			continue
 		}
-		c.sleep(time.Duration((0.5 + rand.Float64()/2) * float64(wait)))
-		wait = min(2*wait, retryMost)
+		f.fails = 0
+		f.since = b.version
+		if f.kind == dandeliongap.KindRoutes {
+			f.c.signal()
+		}
+		if len(b.objects) > 0 {
+			f.c.sleep(gather[f.kind])
+		}
 	}
 }
 
-// fetch lists a kind, or waits for its changes after since.
-func (c *control) fetch(kind string, since dandeliongap.Version) batch {
-	b := batch{kind: kind, full: since == 0}
+// pause waits after a failure (F3).
+func (f *follower) pause() {
+	switch {
+	case f.fails == 1:
+		f.c.sleep(retryOnce)
+	case f.kind == dandeliongap.KindRoutes:
+		f.c.sleep(probeEvery)
+	default:
+		f.c.awaitSignal(probeOthers)
+	}
+}
+
+// fetch lists the kind, or waits for its changes. A hint shortens the wait.
+func (f *follower) fetch() batch {
+	b := batch{kind: f.kind, full: f.since == 0}
+	wait := f.c.watchWait()
+	select {
+	case <-f.hint:
+		b.looked, wait = true, time.Millisecond
+	default:
+	}
 	limit := callTimeout
-	if since > 0 {
-		limit += watchWait
+	if !b.full {
+		limit += wait
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	ctx, cancel := context.WithTimeout(f.c.ctx, limit)
 	defer cancel()
 	if b.full {
-		b.objects, b.version, b.err = c.e.opt.Store.List(ctx, kind)
-	} else {
-		b.objects, b.version, b.err = c.e.opt.Store.Watch(ctx, kind, since, watchWait)
+		b.objects, b.version, b.err = f.c.e.opt.Store.List(ctx, f.kind)
+		return b
+	}
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-f.hint:
+			f.push() // seen by the next fetch
+			cancel()
+		case <-over:
+		}
+	}()
+	b.objects, b.version, b.err = f.c.e.opt.Store.Watch(ctx, f.kind, f.since, wait)
+	if b.err != nil && len(f.hint) > 0 {
+		b.err, b.version = nil, f.since
 	}
 	return b
 }
 
+// push tells the follower that the store has something newer.
+func (f *follower) push() {
+	select {
+	case f.hint <- struct{}{}:
+	default:
+	}
+}
+
+// watchWait returns how long a watch may wait now, at random by a quarter so that
+// the watches of the VMs spread.
+func (c *control) watchWait() time.Duration {
+	wait := waitFew
+	if n := c.present.Load(); n > 0 && c.careful.Load() < int64(c.e.now()) {
+		wait = min(waitMost, waitFew+time.Duration(n)*waitEach)
+	}
+	return time.Duration((0.75 + rand.Float64()/2) * float64(wait))
+}
+
+// signal wakes those that wait for the store.
+func (c *control) signal() {
+	c.backMu.Lock()
+	defer c.backMu.Unlock()
+	close(c.back)
+	c.back = make(chan struct{})
+}
+
+func (c *control) awaitSignal(most time.Duration) {
+	c.backMu.Lock()
+	back := c.back
+	c.backMu.Unlock()
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-back:
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
+
 func (c *control) sleep(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -85,7 +196,6 @@
 		c.e.log.event("not registered").Err(err).Send()
 		return
 	}
-	wait := registerEvery
 	var version dandeliongap.Version
 	for c.ctx.Err() == nil {
 		c.regMu.Lock()
@@ -95,15 +205,14 @@
 			version, err = c.put(body, version)
 			if err != nil {
 				c.e.log.event("not registered").Err(err).Send()
-				wait = min(2*wait, retryMost)
+				c.awaitSignal(probeOthers)
 			} else {
 				c.regMu.Lock()
 				c.registered = true
 				c.regMu.Unlock()
-				wait = registerEvery
 			}
 		}
-		c.sleep(wait)
+		c.sleep(registerEvery)
 	}
 }
 
--- /dev/null
+++ b/dghttp/silence.go
@@ -0,0 +1,23 @@
+package dghttp
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// silentAfter is the time after which a connection whose peer acknowledges
+// nothing counts as lost.
+const silentAfter = 2 * time.Second
+
+// LimitSilence makes the kernel give up a connection whose peer is silent, also
+// while nothing is sent. A failure only makes that slower.
+func LimitSilence(tcp *net.TCPConn) {
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: silentAfter / 2, Interval: silentAfter / 2, Count: 2})
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			const userTimeout = 18 // TCP_USER_TIMEOUT, which package syscall lacks
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(silentAfter/time.Millisecond))
+		})
+	}
+}
--- a/dghttp/transport.go
+++ b/dghttp/transport.go
@@ -176,6 +176,7 @@
 		return nil, err
 	}
 	c := &conn{tcp: nc.(*net.TCPConn), br: bufio.NewReader(nc)}
+	LimitSilence(c.tcp)
 	c.bw = bufio.NewWriter(c)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -10,6 +10,7 @@
 package dgpresence
 
 import (
+	"maps"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -28,6 +29,8 @@
 	Boot    int64 // Unix nanoseconds of the start of the process
 	Count   uint64
 	Serving bool // accepts new callers
+	// Seen has the newest change of each kind of control state that is in force.
+	Seen map[string]dandeliongap.Version `json:",omitempty"`
 }
 
 type seen struct {
@@ -49,7 +52,7 @@
 
 // Tick counts the own beat up and returns what to send: the own beat first, then
 // those of the VMs that are present.
-func (v *View) Tick(now dandeliongap.Instant, serving bool) []Beat {
+func (v *View) Tick(now dandeliongap.Instant, serving bool, newest map[string]dandeliongap.Version) []Beat {
 	if pause := now.Sub(v.last) - BeatEvery; v.last > 0 && pause > BeatEvery {
 		for _, p := range v.peers {
 			p.heard = p.heard.Add(pause)
@@ -58,6 +61,7 @@
 	v.last = now
 	v.self.Count++
 	v.self.Serving = serving
+	v.self.Seen = maps.Clone(newest)
 	out := []Beat{v.self}
 	for _, p := range v.peers {
 		if now.Sub(p.heard) <= LostAfter {
