Cancel sub-requests that outlive their answer; tests of the decisions and the forwarder

A search that is answered in part left its late sub-requests to run until the caller's deadline. They are cancelled 250 ms after the answer, longer than a pause of a replica.

--- /dev/null
+++ b/dgadmit/dgadmit_test.go
@@ -0,0 +1,39 @@
+package dgadmit_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dandeliongap.example/dandeliongap/dgadmit"
+)
+
+func TestAdmit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgadmit")
+}
+
+var _ = Describe("refusals", func() {
+	It("A1 and A2 say for good that a route does not exist only if the configuration is current (guards against false 404s)", func() {
+		Expect(dgadmit.Unready().Status).To(Equal(503))
+		Expect(dgadmit.NoRoute(true).Status).To(Equal(503))
+		Expect(dgadmit.NoRoute(false).Status).To(Equal(404))
+	})
+	It("says when to come back with every refusal that promises not to have run (guards against callers that return at once in a herd or never)", func() {
+		for _, r := range []dgadmit.Refusal{dgadmit.Unready(), dgadmit.NoRoute(true), dgadmit.Leaving(), dgadmit.Coverage(0, 1, 0)} {
+			Expect(r.Status).To(Equal(503))
+			Expect(r.RetryAfter).To(BeNumerically(">", 0))
+		}
+	})
+	DescribeTable("A4 refuses only what cannot be served (guards against waiting for shards that are all down, and against refusing what can be answered in part)",
+		func(usable, total int, least float64, refused bool) {
+			Expect(dgadmit.Coverage(usable, total, least).Status != 0).To(Equal(refused))
+		},
+		Entry("all", 20, 20, 0.89, false),
+		Entry("enough", 18, 20, 0.89, false),
+		Entry("too few", 17, 20, 0.89, true),
+		Entry("single service", 1, 1, 0.0, false),
+		Entry("single service down", 0, 1, 0.0, true),
+	)
+})
--- /dev/null
+++ b/dgbackend/forward_test.go
@@ -0,0 +1,233 @@
+package dgbackend_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbackend"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+var forwardNames = dgbackend.HeaderNames{RequestID: "Id", Deadline: "Left-Ms", Expected: "For", NotRun: "Not-Run", Stamp: "Stamp"}
+
+func forward(id string) *dgbackend.Forward {
+	return &dgbackend.Forward{Head: []byte("GET /a/b?c=d HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n"), ID: id, Repeatable: true}
+}
+
+// scripted is a backend server whose answers to the requests of all connections
+// are given in turn. An empty answer closes the connection, as does the last one.
+func scripted(answers ...string) (*dgbackend.Forwarder, *dandeliongap.Instance, *atomic.Int64) {
+	var next atomic.Int64
+	r, accepted := rawServer(func(c net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			i := int(next.Add(1)) - 1
+			if i >= len(answers) || answers[i] == "" {
+				return
+			}
+			fmt.Fprint(c, strings.ReplaceAll(answers[i], "\n", "\r\n"))
+			if i == len(answers)-1 {
+				return
+			}
+		}
+	})
+	f := dgbackend.NewForwarder(forwardNames)
+	DeferCleanup(f.Close)
+	return f, &dandeliongap.Instance{ID: "i-1", Address: r.Address}, accepted
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\nId: %s\nStamp: s\nContent-Length: %d\n\n%s", id, len(body), body)
+}
+
+func send(f *dgbackend.Forwarder, in *dandeliongap.Instance, id string) (dgbackend.ReplyKind, string) {
+	GinkgoHelper()
+	var call dgbackend.Call
+	r := f.Send(&call, in, forward(id), time.Now().Add(patience))
+	if r.Kind != dgbackend.ReplyAnswer {
+		return r.Kind, ""
+	}
+	defer fasthttp.ReleaseResponse(r.Resp)
+	return r.Kind, string(r.Resp.Body())
+}
+
+var _ = Describe("Forwarder", func() {
+	It("sends the request unchanged, with what is left of the time and the expected instance", func() {
+		got := make(chan *http.Request, 1)
+		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
+			req, err := http.ReadRequest(br)
+			if err == nil {
+				got <- req
+			}
+			fmt.Fprint(c, strings.ReplaceAll(answer("x", "ok"), "\n", "\r\n"))
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		_, body := send(f, &dandeliongap.Instance{ID: "i-9", Address: r.Address}, "x")
+		Expect(body).To(Equal("ok"))
+		req := <-got
+		Expect(req.RequestURI).To(Equal("/a/b?c=d"))
+		Expect(req.Header.Get("For")).To(Equal("i-9"))
+		Expect(req.Header.Get("Left-Ms")).To(MatchRegexp(`^1\d{4}$`))
+	})
+	It("keeps a connection for the next request", func() {
+		f, in, accepted := scripted(answer("1", "a"), answer("2", "b"))
+		_, a := send(f, in, "1")
+		_, b := send(f, in, "2")
+		Expect(a + b).To(Equal("ab"))
+		Expect(accepted.Load()).To(BeEquivalentTo(1))
+	})
+	It("drops an answer to another request and takes the one that follows (guards against handing out a late extra answer)", func() {
+		f, in, _ := scripted(answer("other", "wrong") + answer("1", "right"))
+		_, body := send(f, in, "1")
+		Expect(body).To(Equal("right"))
+	})
+	It("does not reuse a connection with bytes after the answer (guards against bytes that belong to no request)", func() {
+		f, in, accepted := scripted(answer("1", "a")+"surplus", answer("2", "b"))
+		send(f, in, "1")
+		send(f, in, "2")
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+	DescribeTable("claims nothing after a broken answer (guards against passing on part of an answer, and against calling a request not run)",
+		func(a string) {
+			f, in, _ := scripted(a)
+			kind, _ := send(f, in, "1")
+			Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+		},
+		Entry("closed without an answer", ""),
+		Entry("bytes that are no answer", "hello\n\n"),
+		Entry("success without an id", "HTTP/1.1 200 OK\nContent-Length: 1\n\nx"),
+		Entry("only answers to others", answer("2", "x")+answer("3", "x")+answer("4", "x")),
+	)
+	It("claims nothing after an answer that ends early", func() {
+		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err == nil {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: 10\r\n\r\nhalf")
+			}
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		kind, _ := send(f, &dandeliongap.Instance{ID: "i", Address: r.Address}, "1")
+		Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+	})
+	It("takes an answer that ends with its connection, and does not reuse that", func() {
+		r, accepted := rawServer(func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err == nil {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n\r\nwhole")
+			}
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		in := &dandeliongap.Instance{ID: "i", Address: r.Address}
+		for range 2 {
+			_, body := send(f, in, "1")
+			Expect(body).To(Equal("whole"))
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+	It("takes a chunked answer whole", func() {
+		f, in, _ := scripted("HTTP/1.1 200 OK\nId: 1\nStamp: s\nTransfer-Encoding: chunked\n\n3\nabc\n2\nde\n0\n\n")
+		_, body := send(f, in, "1")
+		Expect(body).To(Equal("abcde"))
+	})
+	DescribeTable("believes only the backend server that a request did not run (guards against false refusals)",
+		func(a string, want dgbackend.ReplyKind) {
+			f, in, _ := scripted(a)
+			kind, _ := send(f, in, "1")
+			Expect(kind).To(Equal(want))
+		},
+		Entry("shed", "HTTP/1.1 503 X\nNot-Run: 1\nContent-Length: 0\n\n", dgbackend.ReplyNotRun),
+		Entry("another instance", "HTTP/1.1 421 X\nContent-Length: 0\n\n", dgbackend.ReplyNotRun),
+		Entry("503 without the mark", "HTTP/1.1 503 X\nId: 1\nContent-Length: 0\n\n", dgbackend.ReplyAnswer),
+	)
+	It("calls a request unreached when no connection can be made", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		kind, _ := send(f, &dandeliongap.Instance{ID: "i", Address: addr}, "1")
+		Expect(kind).To(Equal(dgbackend.ReplyUnreached))
+	})
+	It("closes the connection of a cancelled attempt (guards against replicas that work for callers that left)", func() {
+		closed := make(chan error, 1)
+		arrived := make(chan struct{})
+		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			close(arrived)
+			_, err := br.ReadByte()
+			closed <- err
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		var call dgbackend.Call
+		go func() {
+			<-arrived
+			call.Cancel()
+		}()
+		rep := f.Send(&call, &dandeliongap.Instance{ID: "i", Address: r.Address}, forward("1"), time.Now().Add(patience))
+		Expect(rep.Kind).To(Equal(dgbackend.ReplyUnknown))
+		Eventually(closed, patience).Should(Receive(HaveOccurred()))
+	})
+	It("sends nothing for a call that was cancelled before", func() {
+		f, in, _ := scripted(answer("1", "a"))
+		var call dgbackend.Call
+		call.Cancel()
+		rep := f.Send(&call, in, forward("1"), time.Now().Add(patience))
+		Expect(rep.Kind).To(Equal(dgbackend.ReplyUnreached))
+		Expect(errors.Is(rep.Err, dandeliongap.ErrNotRun)).To(BeTrue())
+	})
+	It("returns an early answer to a long body and closes the connection (guards against other bytes where the rest of the body is due)", func() {
+		r, accepted := rawServer(func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 413 X\r\nId: 1\r\nStamp: s\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(50 * time.Millisecond) // the body must not be read meanwhile
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		req := forward("1")
+		req.Body = make([]byte, 8<<20)
+		req.Head = append(req.Head, fmt.Sprintf("Content-Length: %d\r\n", len(req.Body))...)
+		in := &dandeliongap.Instance{ID: "i", Address: r.Address}
+		for range 2 {
+			var call dgbackend.Call
+			rep := f.Send(&call, in, req, time.Now().Add(patience))
+			Expect(rep.Kind).To(Equal(dgbackend.ReplyAnswer))
+			Expect(rep.Resp.StatusCode()).To(Equal(413))
+			fasthttp.ReleaseResponse(rep.Resp)
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+	It("keeps a connection for less than the announced time", func() {
+		f, in, accepted := scripted("HTTP/1.1 200 OK\nId: 1\nStamp: s\nKeep-Alive: timeout=0\nContent-Length: 0\n\n", answer("2", "b"))
+		send(f, in, "1")
+		send(f, in, "2")
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+	It("closes the free connections of instances that are gone", func() {
+		f, in, accepted := scripted(answer("1", "a"), answer("2", "b"))
+		send(f, in, "1")
+		f.Retain(map[dandeliongap.InstanceID]bool{"i-2": true})
+		send(f, in, "2")
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+})
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -11,7 +11,7 @@
 //	    connections of VMs that lost power stay open at the replica, and their
 //	    successors need as many again.
 //	R3  Of the usable replicas, the one with the least cost is used: its slowness
-//	    times its requests under way, divided by its share of successes. Equal
+//	    times its requests under way, divided by its share of successes. Nearly equal
 //	    costs are decided at random.
 //	R4  Slowness is learned from answers, relative to the route's typical latency,
 //	    and fades without new ones. A request that is under way counts with its age.
@@ -52,6 +52,10 @@
 	// ProbeEvery bounds the load on replicas that do not answer.
 	ProbeEvery = 250 * time.Millisecond
 
+	// costSpread is the difference of costs that decides nothing: what was learned of
+	// a replica is no more exact, and one that was slow must be tried again.
+	costSpread = 0.25
+
 	// coldSlowness is the cost of a cold replica relative to a warm one.
 	coldSlowness = 1.6
 )
@@ -237,7 +241,7 @@
 			continue
 		}
 		usable++
-		cost := b.cost(now, route, r) * (1 + 0.01*b.rng.Float64())
+		cost := b.cost(now, route, r) * (1 + costSpread*b.rng.Float64())
 		if cost < bestCost {
 			best, bestCost = r, cost
 		}
--- /dev/null
+++ b/dgbalance/dgbalance_test.go
@@ -0,0 +1,235 @@
+package dgbalance_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbalance"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+}
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgbalance")
+}
+
+const (
+	svc   = dandeliongap.ServiceName("s")
+	route = dandeliongap.RouteName("r")
+)
+
+func ms(n int) dandeliongap.Instant {
+	return dandeliongap.Instant(n) * dandeliongap.Instant(time.Millisecond)
+}
+
+func inst(id string) dandeliongap.Instance {
+	return dandeliongap.Instance{ID: dandeliongap.InstanceID(id), Service: svc, Zone: "z-" + dandeliongap.ZoneName(id), Slots: 3}
+}
+
+type rig struct {
+	b     *dgbalance.Balancer
+	limit dandeliongap.ServiceLimits
+	out   map[dandeliongap.ZoneName]bool
+	vms   []dandeliongap.VMName
+}
+
+func newRig() *rig {
+	r := &rig{b: dgbalance.New("vm", rand.New(rand.NewPCG(1, 1))), limit: dandeliongap.ServiceLimits{Connections: 100}, vms: []dandeliongap.VMName{"vm"}}
+	r.update(0, inst("a"), inst("b"))
+	return r
+}
+
+func (r *rig) update(now dandeliongap.Instant, list ...dandeliongap.Instance) {
+	r.b.Update(now, list, map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{svc: r.limit}, r.out, r.vms)
+}
+
+// play sends one request that takes as long as took says and returns its replica.
+func (r *rig) play(now dandeliongap.Instant, took func(id string) time.Duration, res dgbalance.Result) string {
+	t, _, err := r.b.Pick(now, route, svc, nil)
+	if err != nil {
+		return ""
+	}
+	id := string(t.Instance.ID)
+	r.b.Done(now.Add(took(id)), route, &t, res)
+	return id
+}
+
+func steady(string) time.Duration { return 30 * time.Millisecond }
+
+var _ = Describe("Balancer", func() {
+	It("R1 uses no replica that drains, lies in a zone taken out, or was used (guards against work for what leaves)", func() {
+		r := newRig()
+		leaving := inst("a")
+		leaving.Draining = true
+		r.update(0, leaving, inst("b"))
+		for range 20 {
+			Expect(r.play(0, steady, dgbalance.Answered)).To(Equal("b"))
+		}
+		r.out = map[dandeliongap.ZoneName]bool{"z-b": true}
+		r.update(0, leaving, inst("b"))
+		_, _, err := r.b.Pick(0, route, svc, nil)
+		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
+		Expect(r.b.Usable(0, svc)).To(BeFalse())
+		r.out = nil
+		r.update(0, leaving, inst("b"))
+		_, _, err = r.b.Pick(0, route, svc, []dandeliongap.InstanceID{"b"})
+		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
+	})
+	It("R3 and R4 leave a slow replica and return to it (guards against sending half of all requests to it)", func() {
+		r := newRig()
+		slow := func(id string) time.Duration {
+			if id == "a" {
+				return 300 * time.Millisecond
+			}
+			return 30 * time.Millisecond
+		}
+		count := func(from, to int, took func(string) time.Duration) (a int) {
+			for at := from; at < to; at += 50 {
+				if r.play(ms(at), took, dgbalance.Answered) == "a" {
+					a++
+				}
+			}
+			return a
+		}
+		count(0, 1000, steady)
+		Expect(count(1000, 5000, slow)).To(BeNumerically("<=", 16), "of 80 requests")
+		Expect(count(8000, 12000, steady)).To(BeNumerically(">=", 24), "of 80 requests")
+	})
+	It("R4 counts the age of requests under way (guards against a paused replica that looks fast)", func() {
+		r := newRig()
+		for at := range 20 {
+			r.play(ms(at*50), steady, dgbalance.Answered)
+		}
+		t, _, err := r.b.Pick(ms(1000), route, svc, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for range 8 {
+			Expect(r.play(ms(1200), steady, dgbalance.Answered)).NotTo(Equal(string(t.Instance.ID)))
+		}
+	})
+	It("R5 leaves a replica that refuses connections for longer each time, with one request to try (guards against a storm on a server that starts)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		tries := 0
+		for at := range 2000 {
+			if r.play(ms(at), func(string) time.Duration { return 0 }, dgbalance.Unreached) != "" {
+				tries++
+			}
+		}
+		Expect(tries).To(BeNumerically("<=", 7))
+		Expect(r.b.Usable(ms(2000), svc)).To(BeFalse())
+		t, _, err := r.b.Pick(ms(4000), route, svc, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = r.b.Pick(ms(4001), route, svc, nil)
+		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
+		r.b.Done(ms(4002), route, &t, dgbalance.Answered)
+		Expect(r.b.Usable(ms(4003), svc)).To(BeTrue())
+	})
+	It("R6 gives a silent replica one request at a time (guards against all callers waiting for a dark replica)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		_, _, err := r.b.Pick(0, route, svc, nil)
+		Expect(err).NotTo(HaveOccurred())
+		sent := 0
+		for at := 401; at < 1401; at++ {
+			if _, _, err := r.b.Pick(ms(at), route, svc, nil); err == nil {
+				sent++
+			}
+		}
+		Expect(sent).To(Equal(4))
+	})
+	It("keeps what it learned when the replica stays and forgets it when the replica starts again (guards against routing by the past of another process)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		r.play(0, steady, dgbalance.Unreached)
+		r.update(ms(1), inst("a"))
+		Expect(r.b.Usable(ms(2), svc)).To(BeFalse())
+		again := inst("a")
+		again.Born = 77
+		r.update(ms(3), again)
+		Expect(r.b.Usable(ms(4), svc)).To(BeTrue())
+	})
+})
+
+// TestShares guards against connections of all VMs together above half of what a
+// replica accepts, and against a VM without any.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 70).Draw(t, "vms")
+		connections := rapid.IntRange(1, 200).Draw(t, "connections")
+		var vms []dandeliongap.VMName
+		for i := range n {
+			vms = append(vms, dandeliongap.VMName(fmt.Sprintf("vm-%d", i)))
+		}
+		total, least, most := 0, 1<<30, 0
+		for _, vm := range vms {
+			b := dgbalance.New(vm, rand.New(rand.NewPCG(1, 1)))
+			limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{svc: {Connections: connections}}
+			b.Update(0, []dandeliongap.Instance{inst("a")}, limits, nil, vms)
+			own := 0
+			for {
+				if _, _, err := b.Pick(0, route, svc, nil); err != nil {
+					break
+				}
+				own++
+			}
+			total, least, most = total+own, min(least, own), max(most, own)
+		}
+		if want := max(1, connections/2); total != want {
+			t.Fatalf("%d VMs use %d of %d connections, want %d", n, total, connections, want)
+		}
+		if most-least > 1 {
+			t.Fatalf("shares from %d to %d", least, most)
+		}
+	})
+}
+
+// TestCold guards against more requests to a cold replica than it tolerates,
+// summed over all VMs, in any second.
+func TestCold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "vms")
+		rate := float64(rapid.IntRange(4, 60).Draw(t, "rate"))
+		var vms []dandeliongap.VMName
+		for i := range n {
+			vms = append(vms, dandeliongap.VMName(fmt.Sprintf("vm-%d", i)))
+		}
+		cold := inst("a")
+		cold.ColdFor = time.Minute
+		var at []dandeliongap.Instant
+		for i := range vms {
+			b := dgbalance.New(vms[i], rand.New(rand.NewPCG(1, uint64(i))))
+			limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{svc: {ColdRate: rate}}
+			b.Update(0, []dandeliongap.Instance{cold}, limits, nil, vms)
+			for now := ms(1); now < ms(3000); now = now.Add(2 * time.Millisecond) {
+				if tk, _, err := b.Pick(now, route, svc, nil); err == nil {
+					at = append(at, now)
+					b.Done(now, route, &tk, dgbalance.Answered)
+				}
+			}
+		}
+		for _, end := range at {
+			got := 0
+			for _, x := range at {
+				if x <= end && x > end-ms(1000) {
+					got++
+				}
+			}
+			if limit := rate*1.5 + 5; float64(got) > limit {
+				t.Fatalf("%d VMs sent %d requests in a second, limit %.0f", n, got, limit)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/dgbudget/dgbudget_test.go
@@ -0,0 +1,133 @@
+package dgbudget_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgbudget"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+}
+
+func TestBudget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgbudget")
+}
+
+const (
+	window = 10 * time.Second
+	ratio  = 0.2
+	slack  = 52
+	svc    = dandeliongap.ServiceName("s")
+)
+
+func newBudget(first bool, start dandeliongap.Instant) *dgbudget.Budget {
+	return dgbudget.New(dgbudget.Options{Ratio: ratio, Slack: slack, Window: window, First: first, Start: start})
+}
+
+// TestWindows guards against more extra requests than the limit in any window,
+// summed over all VMs, while processes restart and requests arrive late.
+func TestWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tick = 50 * time.Millisecond
+		vms := rapid.IntRange(1, 6).Draw(t, "vms")
+		budgets := make([]*dgbudget.Budget, vms)
+		for i := range budgets {
+			budgets[i] = newBudget(true, 0)
+			budgets[i].SetMembers(0, vms)
+		}
+		var firsts, extras []dandeliongap.Instant
+		rate, want := 4, 1
+		for now := dandeliongap.Instant(0); now < dandeliongap.Instant(35*time.Second); now = now.Add(tick) {
+			if rapid.IntRange(0, 60).Draw(t, "change") == 0 {
+				rate = rapid.IntRange(0, 8).Draw(t, "rate")
+				want = rapid.IntRange(0, 6).Draw(t, "want")
+			}
+			if rapid.IntRange(0, 150).Draw(t, "restart") == 0 {
+				i := rapid.IntRange(0, vms-1).Draw(t, "vm")
+				budgets[i] = newBudget(false, now)
+				budgets[i].SetMembers(now, vms)
+			}
+			for range rate {
+				budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")].First(now, svc)
+				firsts = append(firsts, now)
+			}
+			for range want {
+				if budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")].Take(now, svc) {
+					delay := time.Duration(rapid.IntRange(0, int(dgbudget.ArrivalDelay/time.Millisecond)).Draw(t, "delay")) * time.Millisecond
+					extras = append(extras, now.Add(delay))
+				}
+			}
+		}
+		for _, end := range extras {
+			start := end.Add(-window)
+			f, x := count(firsts, start, end), count(extras, start, end)
+			half := count(firsts, start.Add(-window/2), end.Add(-window/2))
+			before := count(firsts, start.Add(-window), start)
+			limit := ratio*float64(max(f, half, before)) + slack
+			if float64(x) > limit {
+				t.Fatalf("window that ends at %v: %d extra requests for %d, limit %.1f", end, x, f, limit)
+			}
+		}
+	})
+}
+
+func count(at []dandeliongap.Instant, from, to dandeliongap.Instant) int {
+	n := 0
+	for _, x := range at {
+		if x >= from && x <= to {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Budget", func() {
+	It("U4 gives a process that replaces another one no share of the slack (guards against spending it twice)", func() {
+		b := newBudget(false, 0)
+		b.SetMembers(0, 6)
+		Expect(b.Take(0, svc)).To(BeFalse())
+		for range 10 {
+			b.First(0, svc)
+		}
+		Expect(b.Take(0, svc)).To(BeTrue())
+		Expect(b.Take(0, svc)).To(BeFalse())
+		Expect(b.Left(dandeliongap.Instant(window), "other")).To(BeNumerically("~", dgbudget.Spent*slack/6, 0.01))
+	})
+	It("U2 divides the slack by all VMs of the last window (guards against a share that grows while a lost VM's share is spent)", func() {
+		b := newBudget(true, 0)
+		b.SetMembers(0, 6)
+		b.SetMembers(1, 2)
+		Expect(b.Left(2, svc)).To(BeNumerically("~", dgbudget.Spent*slack/6, 0.01))
+		Expect(b.Left(dandeliongap.Instant(window+time.Second), svc)).To(BeNumerically("~", dgbudget.Spent*slack/2, 0.01))
+	})
+	It("gives back what was not sent", func() {
+		b := newBudget(true, 0)
+		n := 0
+		for b.Take(0, svc) {
+			n++
+		}
+		Expect(n).To(Equal(46), "nine tenths of the slack, whole requests")
+		b.Return(0, svc)
+		Expect(b.Take(0, svc)).To(BeTrue())
+	})
+	It("spends each service's own budget (guards against one slow service that takes all)", func() {
+		b := newBudget(true, 0)
+		for b.Take(0, svc) {
+		}
+		for i := range 3 {
+			Expect(b.Take(0, dandeliongap.ServiceName(fmt.Sprint(i)))).To(BeTrue())
+		}
+	})
+})
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -11,12 +11,17 @@
 	"dandeliongap.example/dandeliongap/dgbackend"
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dggather"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 )
 
 // budgetRetry is the wait after an extra request for which there was no budget.
 const budgetRetry = 20 * time.Millisecond
 
+// leftoverGrace is how long sub-requests may go on after the answer went out. A
+// replica that only paused ends them in that time, and its connection is kept.
+const leftoverGrace = 250 * time.Millisecond
+
 // attempt is one sub-request under way.
 type attempt struct {
 	shard  int
@@ -67,9 +72,12 @@
 	}
 	left := !co.loop(w)
 	close(co.over)
-	if left {
+	switch {
+	case left:
 		co.abandon()
 		ctx.SetConnectionClose()
+	case co.g.Outstanding() > 0:
+		time.AfterFunc(leftoverGrace, co.abandon)
 	}
 	co.write(ctx)
 	co.release()
@@ -147,7 +155,11 @@
 func (co *course) attempt(a *attempt) {
 	e := co.e
 	deadline := e.start.Add(time.Duration(co.c.deadline))
-	reply := e.forward.Send(&a.call, &a.ticket.Instance, co.c.forward, deadline)
+	var reply dgbackend.Reply
+	if r := panics.Try(func() { reply = e.forward.Send(&a.call, &a.ticket.Instance, co.c.forward, deadline) }); r != nil {
+		e.log.event("panic").Str("Request", co.c.id).Str("Value", r.String()).Send()
+		reply = dgbackend.Reply{Err: r.AsError()}
+	}
 	now := e.now()
 	e.mu.Lock()
 	e.bal.Done(now, co.c.route.Name, &a.ticket, co.tells(&reply, now))
@@ -260,7 +272,7 @@
 		Bool("Reached", reached).Bool("Ran", ran).Str("Why", co.why).Dur("After", now.Sub(r.a.ticket.Start)).Send()
 }
 
-// abandon cancels the attempts under way after the caller left.
+// abandon cancels the attempts under way: their results serve nobody.
 func (co *course) abandon() {
 	for _, a := range co.attempts {
 		a.call.Cancel()
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -86,7 +86,6 @@
 	hedge    time.Duration
 	answerAt dandeliongap.Instant
 	endAt    dandeliongap.Instant
-	sent     bool // some attempt reached a replica
 	unsure   bool // some attempt may have run
 }
 
@@ -198,13 +197,15 @@
 	}
 }
 
-func (g *Gather) pending() bool {
+func (g *Gather) pending() bool { return g.in > 0 || g.Outstanding() > 0 }
+
+// Outstanding returns the number of attempts under way.
+func (g *Gather) Outstanding() int {
+	n := 0
 	for i := range g.shards {
-		if g.shards[i].out > 0 || g.shards[i].phase == done {
-			return true
-		}
+		n += g.shards[i].out
 	}
-	return false
+	return n
 }
 
 func (g *Gather) enough() bool {
