Take a replica whose address answers for another instance as gone

Addresses of replicas that crashed went to that service; VMs cut off from the store went on sending there, got 421, and each of these arrivals counts at the service that has the address. Ruled out: the budget's sums (extra lines per service and window agree with the reservations), members that lapse in the registry (none did), dropped log lines. A returned reservation is taken off where it was made; before it stayed as a credit up to a connect longer than what it gave back.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -64,6 +64,8 @@
 	ReplyUnreached
 	// ReplyNotRun: the backend server said that it did not run the request.
 	ReplyNotRun
+	// ReplyMoved: the same, since another instance has the address now.
+	ReplyMoved
 	// ReplyAnswer: a whole answer of the backend server.
 	ReplyAnswer
 )
@@ -358,7 +360,10 @@
 		status := resp.StatusCode()
 		notRun := len(resp.Header.Peek(f.names.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest
 		if echo == req.ID || echo == "" && (notRun || status >= 300) {
-			if notRun {
+			switch {
+			case status == fasthttp.StatusMisdirectedRequest:
+				return ReplyMoved, false, nil
+			case notRun:
 				return ReplyNotRun, reuse && cn.reusable(resp), nil
 			}
 			return ReplyAnswer, reuse && framed && cn.reusable(resp), nil
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -20,6 +20,9 @@
 //	R6  A replica whose oldest request is older than StuckAfter gets one request at
 //	    a time, each ProbeEvery.
 //	R7  A cold replica with a limit gets this VM's share of that rate.
+//	R8  A replica whose address answers for another instance is gone. Requests there
+//	    would only load the service that has the address now. It is looked for again
+//	    after MovedFor.
 package dgbalance
 
 import (
@@ -52,6 +55,10 @@
 	// ProbeEvery bounds the load on replicas that do not answer.
 	ProbeEvery = 250 * time.Millisecond
 
+	// MovedFor is how long a replica counts as gone (R8), unless it registers anew:
+	// about the time in which its registration lapses.
+	MovedFor = 5 * time.Second
+
 	// costSpread is the difference of costs that decides nothing: what was learned of
 	// a replica is no more exact, and one that was slow must be tried again.
 	costSpread = 0.25
@@ -70,6 +77,8 @@
 	Answered Result = iota
 	// Refused: the replica said that it did not run the request.
 	Refused
+	// Moved: another instance has the replica's address.
+	Moved
 	// Erred: the replica failed the request, or its answer was lost or broken.
 	Erred
 	// Unreached: no connection could be made.
@@ -88,9 +97,10 @@
 	fail      float64
 	learnedAt dandeliongap.Instant
 
-	downUntil dandeliongap.Instant
-	downFor   time.Duration
-	probeAt   dandeliongap.Instant
+	downUntil  dandeliongap.Instant
+	downFor    time.Duration
+	movedUntil dandeliongap.Instant
+	probeAt    dandeliongap.Instant
 
 	coldTokens float64
 	coldAt     dandeliongap.Instant
@@ -207,9 +217,9 @@
 	return !r.inst.Draining && !b.zonesOut[r.inst.Zone] && r.allowed > 0
 }
 
-// closedFor tells whether what was seen of a replica rules it out now (R5, R6).
+// closedFor tells whether what was seen of a replica rules it out now (R5, R6, R8).
 func (b *Balancer) closedFor(now dandeliongap.Instant, r *replica) bool {
-	if now < r.downUntil {
+	if now < r.downUntil || now < r.movedUntil {
 		return true
 	}
 	if r.downFor > 0 && len(r.started) > 0 {
@@ -218,7 +228,7 @@
 	return len(r.started) > 0 && now.Sub(r.started[0]) > StuckAfter && now < r.probeAt
 }
 
-// Pick selects a replica and counts the request as under way (R1 to R7). Without
+// Pick selects a replica and counts the request as under way (R1 to R8). Without
 // a usable replica its error is ErrNoReplica, and retry tells when there may be
 // one.
 func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, used []dandeliongap.InstanceID) (t Ticket, retry dandeliongap.Instant, err error) {
@@ -231,7 +241,7 @@
 			continue
 		}
 		if b.closedFor(now, r) {
-			if r.downUntil > now {
+			if r.downUntil > now && r.movedUntil <= now {
 				retry = min(retry, r.downUntil)
 			}
 			continue
@@ -315,6 +325,8 @@
 		r.downFor, r.downUntil = 0, 0
 	case Refused:
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
+	case Moved:
+		r.movedUntil = now.Add(MovedFor)
 	case Erred:
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
 		r.downFor = 0
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -150,6 +150,18 @@
 		}
 		Expect(sent).To(Equal(4))
 	})
+	It("R8 sends nothing more to an address that another instance has (guards against requests that count at a service they are not for; matrita-cauta trouble-1, seed 1098263257934)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		Expect(r.play(0, steady, dgbalance.Moved)).To(Equal("a"))
+		for at := 31; at < 5000; at += 10 {
+			Expect(r.play(ms(at), steady, dgbalance.Moved)).To(BeEmpty())
+		}
+		again := inst("a")
+		again.Born = 5
+		r.update(ms(1000), again)
+		Expect(r.play(ms(1001), steady, dgbalance.Answered)).To(Equal("a"))
+	})
 	It("keeps what it learned when the replica stays and forgets it when the replica starts again (guards against routing by the past of another process)", func() {
 		r := newRig()
 		r.update(0, inst("a"))
--- a/dgbudget/dgbudget.go
+++ b/dgbudget/dgbudget.go
@@ -109,9 +109,14 @@
 	return true
 }
 
-// Return gives back an extra request that was not sent.
-func (b *Budget) Return(now dandeliongap.Instant, s dandeliongap.ServiceName) {
-	if k := b.at(now, s); k.extra > 0 {
+// Return gives back an extra request that was reserved at taken and not sent.
+func (b *Budget) Return(taken dandeliongap.Instant, s dandeliongap.ServiceName) {
+	w := b.services[s]
+	if w == nil {
+		return
+	}
+	slot := b.slot(taken)
+	if k := &w[slot%int64(len(w))]; k.slot == slot && k.extra > 0 {
 		k.extra--
 	}
 }
--- a/dgbudget/dgbudget_test.go
+++ b/dgbudget/dgbudget_test.go
@@ -122,6 +122,15 @@
 		b.Return(0, svc)
 		Expect(b.Take(0, svc)).To(BeTrue())
 	})
+	It("gives back from the time of the reservation (guards against a credit that outlives what it gives back)", func() {
+		b := newBudget(true, 0)
+		const later = dandeliongap.Instant(700 * time.Millisecond)
+		Expect(b.Take(0, svc)).To(BeTrue())
+		Expect(b.Take(later, svc)).To(BeTrue())
+		b.Return(0, svc)
+		end := dandeliongap.Instant(window + dgbudget.ArrivalDelay).Add(200 * time.Millisecond)
+		Expect(b.Left(end, svc)).To(BeNumerically("~", dgbudget.Spent*slack-1, 0.01))
+	})
 	It("spends each service's own budget (guards against one slow service that takes all)", func() {
 		b := newBudget(true, 0)
 		for b.Take(0, svc) {
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -164,7 +164,7 @@
 	e.mu.Lock()
 	e.bal.Done(now, co.c.route.Name, &a.ticket, co.tells(&reply, now))
 	if reply.Kind == dgbackend.ReplyUnreached && a.extra {
-		e.budget.Return(now, co.c.shards[a.shard])
+		e.budget.Return(a.ticket.Start, co.c.shards[a.shard])
 	}
 	e.mu.Unlock()
 	select {
@@ -186,6 +186,8 @@
 		return dgbalance.Answered
 	case dgbackend.ReplyNotRun:
 		return dgbalance.Refused
+	case dgbackend.ReplyMoved:
+		return dgbalance.Moved
 	case dgbackend.ReplyUnreached:
 		if errors.Is(r.Err, dandeliongap.ErrNotRun) {
 			return dgbalance.Abandoned
