--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -167,7 +167,7 @@
 	It("closes the connection of a cancelled attempt (guards against replicas that work for callers that left)", func() {
 		closed := make(chan error, 1)
 		arrived := make(chan struct{})
-		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
+		r, _ := rawServer(func(_ net.Conn, br *bufio.Reader) {
 			if _, err := http.ReadRequest(br); err != nil {
 				return
 			}
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -205,8 +206,11 @@
 func (co *course) take(r result) {
 	now := co.e.now()
 	switch {
+	case r.reply.Kind == dgbackend.ReplyUnreached:
+		co.used[r.a.shard] = slices.DeleteFunc(co.used[r.a.shard], func(id dandeliongap.InstanceID) bool { return id == r.a.ticket.Instance.ID })
+		co.lost(now, r, false, false)
 	case r.reply.Kind != dgbackend.ReplyAnswer:
-		co.lost(now, r, r.reply.Kind != dgbackend.ReplyUnreached, r.reply.Kind == dgbackend.ReplyUnknown)
+		co.lost(now, r, true, r.reply.Kind == dgbackend.ReplyUnknown)
 	case co.usable(r.reply.Resp):
 		co.accept(r)
 	default:
@@ -310,6 +314,7 @@
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(notRunRetry))
 	}
 }
 
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -19,6 +19,8 @@
 //	G6  When no missing part can arrive any more, the request ends: with an answer if
 //	    the coverage is enough, as failed otherwise. An answer with enough coverage
 //	    does not wait for shards of which no replica may be used.
+//	    A request whose missing parts could only come after the latency objective, and
+//	    that lacks coverage, ends too, so that the caller can come back in time.
 //	G7  At the deadline the request ends in the same way.
 //	G8  "Not run" is said only if nothing was sent, or every replica that was sent to
 //	    said that it did not run.
@@ -147,7 +149,8 @@
 	if now < g.answerAt {
 		wake = g.answerAt
 	}
-	open, soon := false, false
+	soon := false
+	chances := 0
 	for i := range g.shards {
 		s := &g.shards[i]
 		due, extra, at := g.due(now, s)
@@ -156,10 +159,13 @@
 		} else if at > 0 {
 			wake = min(wake, at)
 		}
-		soon = soon || due || s.out > 0 || at > 0 && at.Sub(now) < shortWait
-		open = open || soon || at > 0
+		near := s.phase != done && (due || s.out > 0 || at > 0 && at.Sub(now) < shortWait)
+		soon = soon || near
+		if near || at > 0 && at < g.answerAt {
+			chances++
+		}
 	}
-	if !open || !soon && g.enough() {
+	if !soon && g.enough() || !g.reaches(g.in+chances) {
 		return sends, g.end(Failed), 0
 	}
 	return sends, Open, wake
@@ -208,8 +214,11 @@
 	return n
 }
 
-func (g *Gather) enough() bool {
-	return g.in > 0 && float64(g.in) >= g.o.Route.MinCoverage*float64(len(g.shards))
+func (g *Gather) enough() bool { return g.reaches(g.in) }
+
+// reaches tells whether parts of so many shards are enough for the route.
+func (g *Gather) reaches(parts int) bool {
+	return parts > 0 && float64(parts) >= g.o.Route.MinCoverage*float64(len(g.shards))
 }
 
 // Sent records that an attempt is under way.
--- a/dggather/dggather_test.go
+++ b/dggather/dggather_test.go
@@ -157,6 +157,21 @@
 		Expect(verdict(g, ms(1))).To(Equal(dggather.Open))
 		Expect(sendAll(g, ms(5))).To(HaveLen(1))
 	})
+	It("G6 ends a search that can only reach its coverage after the objective (guards against callers that wait until their deadline in vain)", func() {
+		g := search(nil)
+		sends, _, _ := g.Step(0, nil)
+		for _, s := range sends[:2] {
+			g.Sent(0, s.Shard)
+		}
+		for _, s := range sends[2:] {
+			g.Unsent(0, s.Shard, ms(100))
+		}
+		Expect(verdict(g, ms(1))).To(Equal(dggather.Open))
+		for _, s := range sends[2:] {
+			g.Unsent(ms(100), s.Shard, ms(350))
+		}
+		Expect(verdict(g, ms(100))).To(Equal(dggather.Failed))
+	})
 	It("G7 ends before the deadline (guards against callers that wait in vain)", func() {
 		g := search(nil)
 		sendAll(g, 0)
