--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -54,6 +54,7 @@
 	fallback *fasthttp.Response // a replica's own failure, if nothing better comes
 	sends    []dggather.Send
 	extras   int
+	noBudget int // extra requests that the budget did not allow
 	verdict  dggather.Verdict
 	why      string // of the last lost attempt
 }
@@ -122,6 +123,7 @@
 	if s.Extra && !e.budget.Take(now, service) {
 		e.mu.Unlock()
 		e.stats.add("NoBudget")
+		co.noBudget++
 		co.g.Unsent(now, s.Shard, now.Add(budgetRetry))
 		return
 	}
@@ -344,7 +346,11 @@
 	if status == fasthttp.StatusOK {
 		co.e.stats.observe(string(co.c.route.Name), took)
 	}
-	co.e.log.request("done", co.c.id).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
+	var missing []string
+	for _, m := range co.g.Missing() {
+		missing = append(missing, string(m))
+	}
+	co.e.log.request("done", co.c.id).Strs("Missing", missing).Int("NoBudget", co.noBudget).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
 		Str("Verdict", verdict).Int("Status", status).Int("Merged", in).Int("Total", total).
 		Int("Attempts", len(co.attempts)).Int("Extra", co.extras).Str("Why", co.why).
 		Dur("Left", co.c.deadline.Sub(co.c.arrived)-took).Dur("Took", took).Send()
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -270,5 +270,16 @@
 	}
 }
 
+// Missing returns the shards whose parts are not in.
+func (g *Gather) Missing() []dandeliongap.ServiceName {
+	var out []dandeliongap.ServiceName
+	for i := range g.shards {
+		if g.shards[i].phase != done {
+			out = append(out, g.o.Shards[i])
+		}
+	}
+	return out
+}
+
 // Coverage returns the parts that are in and the shards of the request.
 func (g *Gather) Coverage() (in, total int) { return g.in, len(g.shards) }
