Deal connections per service, reload settings, advise by the age of an outage

The connections of a service are dealt out to the VMs in turn; each VM gets one as long as there are enough for all. A VM that started a moment ago gives short directory answers.

--- a/cmd/dandeliongap-edge/main.go
+++ b/cmd/dandeliongap-edge/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"dandeliongap.example/dandeliongap/dgedge"
 	"dandeliongap.example/dandeliongap/platform"
@@ -56,8 +57,13 @@
 	return dgedge.ParseSettings(text)
 }
 
-// run serves until SIGTERM or an interrupt.
-func run(s dgedge.Settings, _ string) error {
+// fileEvery is the time between two looks at the settings file, which may change
+// without a signal.
+const fileEvery = time.Second
+
+// run serves until SIGTERM or an interrupt. SIGHUP and a new modification time of
+// the settings file make it read the settings again.
+func run(s dgedge.Settings, path string) error {
 	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
@@ -66,12 +72,43 @@
 	if err != nil {
 		return errors.Join(err, store.Close())
 	}
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			continue
+	tick := time.NewTicker(fileEvery)
+	defer tick.Stop()
+	seen := modified(path)
+	for running := true; running; {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(e, path)
+			} else {
+				running = false
+			}
+		case <-tick.C:
+			if at := modified(path); !at.Equal(seen) {
+				seen = at
+				reload(e, path)
+			}
 		}
-		break
 	}
 	e.Leave()
 	return errors.Join(e.Close(), store.Close())
 }
+
+func reload(e *dgedge.Edge, path string) {
+	s, err := read(path)
+	if err != nil {
+		e.ReloadFailed(err)
+		return
+	}
+	e.Reload(s)
+}
+
+// modified returns the modification time of a file; the zero time if it cannot be
+// read, which the next reload reports.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -32,15 +32,19 @@
 const (
 	// unreadyRetry is about the time that a VM takes to read the control state.
 	unreadyRetry = 200 * time.Millisecond
+	// unreadyMost bounds the advice in a long outage.
+	unreadyMost = 2 * time.Second
 	// leavingRetry lets the caller go to another VM at once.
 	leavingRetry = time.Millisecond
 	// coverageRetry is the time between two probes of replicas that are down.
 	coverageRetry = 250 * time.Millisecond
 )
 
-// Unready refuses under A1.
-func Unready() Refusal {
-	return Refusal{http.StatusServiceUnavailable, "A1", "Unready", "not run: no configuration yet", unreadyRetry}
+// Unready refuses under A1. The store has not answered for the given time; an
+// outage is expected to last about as long again as it has lasted.
+func Unready(outage time.Duration) Refusal {
+	retry := min(max(unreadyRetry, outage), unreadyMost)
+	return Refusal{http.StatusServiceUnavailable, "A1", "Unready", "not run: no configuration yet", retry}
 }
 
 // NoRoute refuses under A2.
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -6,10 +6,7 @@
 //
 //	R1  A replica that drains, lies in a zone that operators took out, or was used
 //	    by the same request before is not used.
-//	R2  This VM opens at most its share of a replica's connections. The shares of
-//	    all registered VMs add up to no more than half of what the replica accepts:
-//	    connections of VMs that lost power stay open at the replica, and their
-//	    successors need as many again.
+//	R2  This VM opens at most its share of a replica's connections (Deal).
 //	R3  Of the usable replicas, the one with the least cost is used: its slowness
 //	    times its requests under way, divided by its share of successes. Nearly equal
 //	    costs are decided at random.
@@ -124,6 +121,7 @@
 	byID     map[dandeliongap.InstanceID]*replica
 	zonesOut map[dandeliongap.ZoneName]bool
 	typical  map[dandeliongap.RouteName]time.Duration
+	dealt    map[dandeliongap.ServiceName]dealt
 }
 
 // New returns a balancer without replicas.
@@ -133,6 +131,7 @@
 		services: make(map[dandeliongap.ServiceName][]*replica),
 		byID:     make(map[dandeliongap.InstanceID]*replica),
 		typical:  make(map[dandeliongap.RouteName]time.Duration),
+		dealt:    make(map[dandeliongap.ServiceName]dealt),
 	}
 }
 
@@ -151,47 +150,50 @@
 		r.inst = in
 		r.coldEnd = now.Add(in.ColdFor)
 		limit := limits[in.Service]
-		r.allowed = b.share(in.ID, limit.Connections, vms)
 		r.coldRate = limit.ColdRate / float64(max(1, len(vms)))
 		b.byID[in.ID] = r
 		b.services[in.Service] = append(b.services[in.Service], r)
 	}
-	for _, rs := range b.services {
+	for name, rs := range b.services {
 		slices.SortFunc(rs, func(a, b *replica) int { return cmp.Compare(a.inst.ID, b.inst.ID) })
+		b.deal(name, rs, limits[name].Connections, vms)
 	}
 }
 
-// share returns this VM's connections of a replica (R2). Where there are fewer
-// connections than VMs, a hash decides which VMs have one.
-func (b *Balancer) share(id dandeliongap.InstanceID, connections int, vms []dandeliongap.VMName) int {
-	n := max(1, len(vms))
+// deal sets the connections of this VM at the replicas of one service (R2). The
+// result of the last time is kept while nothing changed that it depends on.
+func (b *Balancer) deal(name dandeliongap.ServiceName, rs []*replica, connections int, vms []dandeliongap.VMName) {
 	if connections <= 0 {
-		return math.MaxInt
-	}
-	connections = max(1, connections/2)
-	share, rest := connections/n, connections%n
-	if rest == 0 {
-		return share
+		for _, r := range rs {
+			r.allowed = math.MaxInt
+		}
+		return
 	}
-	own, before := rank(id, b.self), 0
+	var h xxhash.Digest
+	h.Reset()
 	for _, vm := range vms {
-		if rank(id, vm) < own {
-			before++
-		}
+		_, _ = h.WriteString(string(vm) + "/")
+	}
+	for _, r := range rs {
+		_, _ = h.WriteString(string(r.inst.ID) + "/")
+	}
+	d := dealt{basis: h.Sum64(), connections: connections}
+	if old, ok := b.dealt[name]; ok && old.basis == d.basis && old.connections == connections {
+		d = old
+	} else {
+		d.shares = Deal(name, b.self, vms, len(rs), connections)
+		b.dealt[name] = d
 	}
-	if before < rest {
-		share++
+	for i, r := range rs {
+		r.allowed = d.shares[i]
 	}
-	return share
 }
 
-func rank(id dandeliongap.InstanceID, vm dandeliongap.VMName) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(id))
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(string(vm))
-	return d.Sum64()
+// dealt is a result of Deal and what it was made from.
+type dealt struct {
+	basis       uint64
+	connections int
+	shares      []int
 }
 
 // Typical returns the typical latency of a route; fallback if none was seen.
--- a/dgbudget/dgbudget.go
+++ b/dgbudget/dgbudget.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// SetLimits replaces the limits.
+func (b *Budget) SetLimits(ratio, slack float64) {
+	b.opt.Ratio, b.opt.Slack = ratio, slack
+}
+
 func (b *Budget) slot(now dandeliongap.Instant) int64 {
 	return int64(now) * buckets / int64(b.opt.Window)
 }
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -48,7 +46,8 @@
 	cancel  context.CancelFunc
 	wg      conc.WaitGroup
 
-	udp *net.UDPConn
+	udp    *net.UDPConn
+	packer packer
 
 	table    *dgroute.Table
 	catalog  *dgcatalog.Catalog
@@ -61,6 +60,7 @@
 	heard    dandeliongap.Instant                         // last answer of the store
 	lostKind map[string]bool                              // kinds whose last call failed
 	recheck  dandeliongap.Instant                         // next expiry in the catalog
+	shared   []dandeliongap.VMName                        // VMs that share the connections
 
 	followers map[string]*follower
 	seen      map[string]dandeliongap.Version // newest change of a kind that is in force here
@@ -347,7 +347,7 @@
 	e, now := c.e, c.e.now()
 	_, c.recheck = c.catalog.Expire(now)
 	list := c.catalog.Instances(now)
-	vms := c.vms()
+	c.shared = c.sharing(now)
 	limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{}
 	if c.table != nil {
 		limits = c.table.Config.Services
@@ -357,8 +357,8 @@
 		ids[in.ID] = true
 	}
 	e.mu.Lock()
-	e.bal.Update(now, list, limits, c.zonesOut, vms)
-	e.budget.SetMembers(now, len(vms))
+	e.bal.Update(now, list, limits, c.zonesOut, c.shared)
+	e.budget.SetMembers(now, len(c.members))
 	e.mu.Unlock()
 	e.forward.Retain(ids)
 	c.publish()
@@ -372,6 +372,27 @@
 			out = append(out, vm)
 		}
 	}
+	slices.Sort(out)
+	return out
+}
+
+// sharing returns the VMs among which the connections of replicas are dealt out:
+// those that are present, and others up to half of all. VMs whose views differ
+// then use at most twice the connections that are dealt out.
+func (c *control) sharing(now dandeliongap.Instant) []dandeliongap.VMName {
+	all := c.vms()
+	var out, away []dandeliongap.VMName
+	for _, vm := range all {
+		if alive, _ := c.presence.Present(now, vm); alive || vm == c.e.opt.Settings.VM {
+			out = append(out, vm)
+		} else {
+			away = append(away, vm)
+		}
+	}
+	if missing := (len(all)+1)/2 - len(out); missing > 0 {
+		out = append(out, away[:missing]...)
+	}
+	slices.Sort(out)
 	return out
 }
 
@@ -410,7 +431,7 @@
 	now := c.e.now()
 	c.beat()
 	c.catchUp(now)
-	if c.recheck > 0 && now >= c.recheck {
+	if c.recheck > 0 && now >= c.recheck || !slices.Equal(c.shared, c.sharing(now)) {
 		c.refresh()
 	} else {
 		c.publish()
@@ -452,80 +473,6 @@
 	}
 }
 
-// listenGossip opens the socket for beats. Without it the VM serves, but other
-// VMs do not name it.
-func (c *control) listenGossip() {
-	addr, err := net.ResolveUDPAddr("udp", c.e.opt.Settings.Gossip)
-	if err == nil {
-		c.udp, err = net.ListenUDP("udp", addr)
-	}
-	if err != nil {
-		c.e.log.event("no gossip").Err(err).Send()
-		return
-	}
-	c.wg.Go(c.hear)
-}
-
-// gossipMost bounds a datagram with beats: the largest that UDP carries.
-const gossipMost = 64 << 10
-
-// gossipPeers is the number of VMs that each beat goes to.
-const gossipPeers = 5
-
-func (c *control) hear() {
-	buf := make([]byte, gossipMost)
-	for {
-		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			c.e.stats.add("GossipErrors")
-			continue
-		}
-		var msg struct{ Beats []dgpresence.Beat }
-		if err := json.Unmarshal(buf[:n], &msg); err != nil {
-			c.e.stats.add("GossipUnreadable")
-			continue
-		}
-		select {
-		case c.beats <- msg.Beats:
-		default:
-			c.e.stats.add("GossipDropped")
-		}
-	}
-}
-
-// beat sends the own beat and those known to some other VMs.
-func (c *control) beat() {
-	now := c.e.now()
-	beats := c.presence.Tick(now, c.e.serving(), c.seen)
-	if c.udp == nil {
-		return
-	}
-	text, err := json.Marshal(struct{ Beats []dgpresence.Beat }{beats})
-	if err != nil {
-		c.e.log.event("no beat").Err(err).Send()
-		return
-	}
-	var to []dandeliongap.EdgeMember
-	for vm, m := range c.members {
-		if vm != c.e.opt.Settings.VM {
-			to = append(to, m)
-		}
-	}
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	for _, m := range to[:min(len(to), gossipPeers)] {
-		addr, err := net.ResolveUDPAddr("udp", m.Gossip)
-		if err == nil {
-			_, err = c.udp.WriteToUDP(text, addr)
-		}
-		if err != nil {
-			c.e.stats.add("GossipUnsent")
-		}
-	}
-}
-
 // memberObject names the registration of a VM.
 func memberObject(vm dandeliongap.VMName) dandeliongap.ObjectName {
 	return dandeliongap.ObjectName(fmt.Sprintf("%s/%s", dandeliongap.KindMembers, vm))
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -52,6 +52,7 @@
 	bal    *dgbalance.Balancer
 	budget *dgbudget.Budget
 
+	tuning  atomic.Pointer[Settings] // the settings that may change while it runs
 	view    atomic.Pointer[view]
 	control *control
 	leaving atomic.Bool
@@ -87,6 +88,7 @@
 		Ratio: o.Settings.RetryRatio, Slack: o.Settings.RetrySlack, Window: o.Settings.RetryWindow, First: o.Settings.First,
 	})
 	e.view.Store(&view{})
+	e.tuning.Store(&o.Settings)
 	e.stats.init()
 	if err := e.listen(); err != nil {
 		e.log.close()
@@ -173,12 +175,31 @@
 	stopEnds      = 0.87 // requests under way end until here
 )
 
+// Reload applies settings that were read again. Addresses and the names of the VM
+// and its zone stay as they were at the start.
+func (e *Edge) Reload(s Settings) {
+	old := e.tuning.Swap(&s)
+	e.mu.Lock()
+	e.budget.SetLimits(s.RetryRatio, s.RetrySlack)
+	e.mu.Unlock()
+	fixed := e.opt.Settings
+	restart := s.VM != fixed.VM || s.Zone != fixed.Zone || s.Entry != fixed.Entry || s.Ready != fixed.Ready || s.Names != fixed.Names ||
+		s.Gossip != fixed.Gossip || s.Vars != fixed.Vars || s.Store != fixed.Store || s.RetryWindow != fixed.RetryWindow
+	e.log.event("reload").Bool("Changed", *old != s).Bool("NeedsRestart", restart).
+		Float64("RetryRatio", s.RetryRatio).Float64("RetrySlack", s.RetrySlack).Dur("ShutdownLimit", s.ShutdownLimit).Send()
+}
+
+// ReloadFailed records settings that could not be read; the last ones stay.
+func (e *Edge) ReloadFailed(err error) {
+	e.log.event("reload failed").Err(err).Str("Choice", "keep the last settings").Send()
+}
+
 // Leave ends the VM gracefully: callers are sent elsewhere, requests under way
 // are finished, and those that still arrive are served as long as they can be
 // finished. It returns when the process may end.
 func (e *Edge) Leave() {
 	begin := time.Now()
-	limit := e.opt.Settings.ShutdownLimit
+	limit := e.tuning.Load().ShutdownLimit
 	at := func(share float64) time.Time { return begin.Add(time.Duration(share * float64(limit))) }
 	e.leaving.Store(true)
 	e.control.poke()
--- /dev/null
+++ b/dgedge/gossip.go
@@ -0,0 +1,143 @@
+package dgedge
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgpresence"
+)
+
+// listenGossip opens the socket for beats. Without it the VM serves, but other
+// VMs do not name it.
+func (c *control) listenGossip() {
+	addr, err := net.ResolveUDPAddr("udp", c.e.opt.Settings.Gossip)
+	if err == nil {
+		c.udp, err = net.ListenUDP("udp", addr)
+	}
+	if err != nil {
+		c.e.log.event("no gossip").Err(err).Send()
+		return
+	}
+	c.wg.Go(c.hear)
+}
+
+const (
+	// gossipMost bounds a datagram with beats: the largest that UDP carries.
+	gossipMost = 64 << 10
+	// gossipUnpacked bounds what a datagram is unpacked to: the beats of some
+	// thousand VMs.
+	gossipUnpacked = 1 << 20
+	// gossipPeers is the number of VMs that each beat goes to directly; in larger
+	// tiers, which pass each other's beats on, gossipMany is enough.
+	gossipPeers = 5
+	gossipMany  = 3
+	// gossipSmall is the number of VMs up to which a tier is not large.
+	gossipSmall = 12
+)
+
+// gossip is the content of a datagram.
+type gossip struct{ Beats []dgpresence.Beat }
+
+// packer writes datagrams. Its zero value is ready for use.
+type packer struct {
+	b bytes.Buffer
+	w *flate.Writer // kept: each one takes about a megabyte
+}
+
+// pack returns the datagram for some beats, which is valid until the next call.
+func (p *packer) pack(g gossip) ([]byte, error) {
+	p.b.Reset()
+	if p.w == nil {
+		w, err := flate.NewWriter(&p.b, flate.BestSpeed)
+		if err != nil {
+			return nil, err
+		}
+		p.w = w
+	} else {
+		p.w.Reset(&p.b)
+	}
+	if err := json.NewEncoder(p.w).Encode(g); err != nil {
+		return nil, err
+	}
+	err := p.w.Close()
+	return p.b.Bytes(), err
+}
+
+// unpacker reads datagrams. Its zero value is ready for use.
+type unpacker struct{ r io.ReadCloser }
+
+func (u *unpacker) unpack(datagram []byte) (g gossip, err error) {
+	src := bytes.NewReader(datagram)
+	if u.r == nil {
+		u.r = flate.NewReader(src)
+	} else if err := u.r.(flate.Resetter).Reset(src, nil); err != nil {
+		return gossip{}, err
+	}
+	err = json.NewDecoder(io.LimitReader(u.r, gossipUnpacked)).Decode(&g)
+	return g, err
+}
+
+func (c *control) hear() {
+	buf := make([]byte, gossipMost)
+	var u unpacker
+	for {
+		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			c.e.stats.add("GossipErrors")
+			continue
+		}
+		msg, err := u.unpack(buf[:n])
+		if err != nil {
+			c.e.stats.add("GossipUnreadable")
+			continue
+		}
+		select {
+		case c.beats <- msg.Beats:
+		default:
+			c.e.stats.add("GossipDropped")
+		}
+	}
+}
+
+// beat sends the own beat and those known to some other VMs.
+func (c *control) beat() {
+	now := c.e.now()
+	beats := c.presence.Tick(now, c.e.serving(), c.seen)
+	if c.udp == nil {
+		return
+	}
+	text, err := c.packer.pack(gossip{beats})
+	if err != nil {
+		c.e.log.event("no beat").Err(err).Send()
+		return
+	}
+	var to []dandeliongap.EdgeMember
+	for vm, m := range c.members {
+		if vm != c.e.opt.Settings.VM {
+			to = append(to, m)
+		}
+	}
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	peers := gossipPeers
+	if len(to) >= gossipSmall {
+		peers = gossipMany
+	}
+	for _, m := range to[:min(len(to), peers)] {
+		addr, err := net.ResolveUDPAddr("udp", m.Gossip)
+		if err == nil {
+			_, err = c.udp.WriteToUDP(text, addr)
+		}
+		if err != nil {
+			c.e.stats.add("GossipUnsent")
+		}
+	}
+}
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -67,7 +67,7 @@
 	h := &ctx.Request.Header
 	c := &call{id: string(h.Peek(e.opt.Dialect.Backend.RequestID)), arrived: now}
 	if !v.ready {
-		return c, dgadmit.Unready()
+		return c, dgadmit.Unready(time.Duration(now))
 	}
 	c.version = v.table.Config.Version
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
@@ -223,10 +223,21 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	keep := namesKeep
+	if time.Duration(e.now()) < namesYoung {
+		keep = namesKeepYoung
+	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(e.opt.Dialect.Addresses(names, min(namesKeep, e.opt.Settings.NamesKeep)))
+	ctx.SetBody(e.opt.Dialect.Addresses(names, min(keep, e.tuning.Load().NamesKeep)))
 }
 
-// namesKeep is how long callers may keep a directory answer. Some keep it three
-// times as long, which a leaving VM waits for.
-const namesKeep = time.Second
+const (
+	// namesKeep is how long callers may keep a directory answer. Some keep it three
+	// times as long, which a leaving VM waits for.
+	namesKeep = time.Second
+	// namesKeepYoung is the same for a VM that has just started and may not have
+	// heard of all others yet: its callers should not all stay with it.
+	namesKeepYoung = 250 * time.Millisecond
+	// namesYoung is the time in which a VM hears of all others that are alive.
+	namesYoung = 1500 * time.Millisecond
+)
