--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -29,6 +30,7 @@
 	extra  bool
 	ticket dgbalance.Ticket
 	call   dgbackend.Call
+	ended  bool // its result was taken
 }
 
 // result is the end of an attempt.
@@ -207,6 +209,7 @@
 // take gives a result to the decisions.
 func (co *course) take(r result) {
 	now := co.e.now()
+	r.a.ended = true
 	switch {
 	case r.reply.Kind == dgbackend.ReplyUnreached:
 		co.used[r.a.shard] = slices.DeleteFunc(co.used[r.a.shard], func(id dandeliongap.InstanceID) bool { return id == r.a.ticket.Instance.ID })
@@ -280,6 +283,23 @@
 		Bool("Reached", reached).Bool("Ran", ran).Str("Why", co.why).Dur("After", now.Sub(r.a.ticket.Start)).Send()
 }
 
+// missing names the shards that are not in the answer, with the replicas that
+// still had their sub-requests and for how long, in milliseconds.
+func (co *course) missing() []string {
+	var out []string
+	now := co.e.now()
+	for _, i := range co.g.Missing() {
+		text := string(co.c.shards[i])
+		for _, a := range co.attempts {
+			if a.shard == i && !a.ended {
+				text += fmt.Sprintf(" %s:%d", a.ticket.Instance.ID, now.Sub(a.ticket.Start).Milliseconds())
+			}
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
 // abandon cancels the attempts under way: their results serve nobody.
 func (co *course) abandon() {
 	for _, a := range co.attempts {
@@ -346,11 +366,7 @@
 	if status == fasthttp.StatusOK {
 		co.e.stats.observe(string(co.c.route.Name), took)
 	}
-	var missing []string
-	for _, m := range co.g.Missing() {
-		missing = append(missing, string(m))
-	}
-	co.e.log.request("done", co.c.id).Strs("Missing", missing).Int("NoBudget", co.noBudget).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
+	co.e.log.request("done", co.c.id).Strs("Missing", co.missing()).Int("NoBudget", co.noBudget).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
 		Str("Verdict", verdict).Int("Status", status).Int("Merged", in).Int("Total", total).
 		Int("Attempts", len(co.attempts)).Int("Extra", co.extras).Str("Why", co.why).
 		Dur("Left", co.c.deadline.Sub(co.c.arrived)-took).Dur("Took", took).Send()
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -270,12 +270,12 @@
 	}
 }
 
-// Missing returns the shards whose parts are not in.
-func (g *Gather) Missing() []dandeliongap.ServiceName {
-	var out []dandeliongap.ServiceName
+// Missing returns the indices of the shards whose parts are not in.
+func (g *Gather) Missing() []int {
+	var out []int
 	for i := range g.shards {
 		if g.shards[i].phase != done {
-			out = append(out, g.o.Shards[i])
+			out = append(out, i)
 		}
 	}
 	return out
--- a/dgnode/vars_test.go
+++ b/dgnode/vars_test.go
@@ -16,11 +16,11 @@
 	"github.com/charmbracelet/log"
 )
 
-// Guards against a metric of /debug/vars that docs/operations.md does not explain.
+// Guards against a metric of /debug/vars that docs/OPERATIONS.md does not explain.
 // The page is read through a link, since a cached result ignores changes of
 // files outside of the module.
 func TestEveryMetricIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("testdata/operations.md")
+	page, err := os.ReadFile("testdata/OPERATIONS.md")
 	must(t, err)
 	settings := dgsettings.DefaultDaemon()
 	settings.OperatorToken, settings.PeerListen = "token-of-this-test", "127.0.0.1:0"
@@ -46,7 +46,7 @@
 	}
 	for name := range vars.Dandeliongap {
 		if !strings.Contains(string(page), "\n| `"+name+"` |") {
-			t.Errorf("docs/operations.md has no row for the metric %s", name)
+			t.Errorf("docs/OPERATIONS.md has no row for the metric %s", name)
 		}
 	}
 }
--- a/types_test.go
+++ b/types_test.go
@@ -8,10 +8,10 @@
 	"dandeliongap.example/dandeliongap"
 )
 
-// Guards against a refusal that docs/operations.md does not explain: callers and
+// Guards against a refusal that docs/OPERATIONS.md does not explain: callers and
 // operators would meet a reason that no page describes.
 func TestEveryReasonIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("docs/operations.md")
+	page, err := os.ReadFile("docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -21,7 +21,7 @@
 	}
 	for r := first; r.String() != "invalid"; r++ {
 		if !strings.Contains(string(page), "\n| `"+r.String()+"` |") {
-			t.Errorf("docs/operations.md has no row for the reason %q", r)
+			t.Errorf("docs/OPERATIONS.md has no row for the reason %q", r)
 		}
 	}
 }
