--- a/dgdemo/hangup_test.go
+++ b/dgdemo/hangup_test.go
@@ -40,6 +40,6 @@
 	}
 	after := f.Fleet.Counters()
 	f.Expect(after.Cancelled - before.Cancelled).To(BeNumerically(">=", leaves*len(f.Nodes())))
-	f.Expect(after.Cancelled - before.Cancelled).To(Equal(after.Runs - before.Runs))
+	f.Expect(after.Cancelled-before.Cancelled).To(Equal(after.Runs-before.Runs), "before %+v, after %+v", before, after)
 	f.Expect(after.DeadlineGiveUps).To(Equal(before.DeadlineGiveUps), "no slot was freed by its deadline")
 }
