--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -10,7 +10,8 @@
 //	A3  A VM about to end refuses at once, so that the caller has time for another.
 //	A4  A request whose shards cannot reach the route's least coverage is refused at
 //	    once. It answers the load of a service whose replicas are all down: nothing
-//	    is sent that could not be used.
+//	    is sent that could not be used. The advice is longer if replicas are not only
+//	    down but not there.
 package dgadmit
 
 import (
@@ -36,8 +37,10 @@
 	unreadyMost = 2 * time.Second
 	// leavingRetry lets the caller go to another VM at once.
 	leavingRetry = time.Millisecond
-	// coverageRetry is the time between two probes of replicas that are down.
-	coverageRetry = 250 * time.Millisecond
+	// downRetry is the time between two probes of replicas that are down.
+	downRetry = 250 * time.Millisecond
+	// noneRetry is about the time in which new replicas register.
+	noneRetry = time.Second
 )
 
 // Unready refuses under A1. The store has not answered for the given time; an
@@ -60,14 +63,20 @@
 	return Refusal{http.StatusServiceUnavailable, "A3", "Leaving", "not run: this VM is leaving", leavingRetry}
 }
 
-// Coverage refuses under A4 if fewer shards are usable than the route needs.
-func Coverage(usable, total int, least float64) Refusal {
-	if usable > 0 && float64(usable) >= least*float64(total) {
+// Coverage refuses under A4 if fewer shards are usable than the route needs. down
+// more have replicas that may answer again soon.
+func Coverage(usable, down, total int, least float64) Refusal {
+	reaches := func(n int) bool { return n > 0 && float64(n) >= least*float64(total) }
+	if reaches(usable) {
 		return Refusal{}
 	}
+	retry := noneRetry
+	if reaches(usable + down) {
+		retry = downRetry
+	}
 	return Refusal{
 		http.StatusServiceUnavailable, "A4", "NoReplica",
-		fmt.Sprintf("not run: %d of %d services have a usable replica", usable, total), coverageRetry,
+		fmt.Sprintf("not run: %d of %d services have a usable replica, %d more are down", usable, total, down), retry,
 	}
 }
 
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -204,14 +204,32 @@
 	return fallback
 }
 
-// Usable tells whether a request to a service could be sent now.
-func (b *Balancer) Usable(now dandeliongap.Instant, s dandeliongap.ServiceName) bool {
+// Prospect tells what may be expected of a service.
+type Prospect uint8
+
+// Prospects.
+const (
+	// None: no replica is registered that may be used.
+	None Prospect = iota
+	// Down: there are replicas, but none answers at the moment.
+	Down
+	// Usable: a request could be sent now.
+	Usable
+)
+
+// Prospect returns what may be expected of a service now.
+func (b *Balancer) Prospect(now dandeliongap.Instant, s dandeliongap.ServiceName) Prospect {
+	best := None
 	for _, r := range b.services[s] {
-		if b.open(now, r) && !b.closedFor(now, r) {
-			return true
+		switch {
+		case !b.open(now, r) || now < r.movedUntil:
+		case !b.closedFor(now, r):
+			return Usable
+		default:
+			best = Down
 		}
 	}
-	return false
+	return best
 }
 
 // open tells whether a replica may be used at all (R1).
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -82,7 +82,7 @@
 		r.update(0, leaving, inst("b"))
 		_, _, err := r.b.Pick(0, route, svc, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
-		Expect(r.b.Usable(0, svc)).To(BeFalse())
+		Expect(r.b.Prospect(0, svc)).To(Equal(dgbalance.None))
 		r.out = nil
 		r.update(0, leaving, inst("b"))
 		_, _, err = r.b.Pick(0, route, svc, []dandeliongap.InstanceID{"b"})
@@ -129,13 +129,13 @@
 			}
 		}
 		Expect(tries).To(BeNumerically("<=", 7))
-		Expect(r.b.Usable(ms(2000), svc)).To(BeFalse())
+		Expect(r.b.Prospect(ms(2000), svc)).To(Equal(dgbalance.Down))
 		t, _, err := r.b.Pick(ms(4000), route, svc, nil)
 		Expect(err).NotTo(HaveOccurred())
 		_, _, err = r.b.Pick(ms(4001), route, svc, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
 		r.b.Done(ms(4002), route, &t, dgbalance.Answered)
-		Expect(r.b.Usable(ms(4003), svc)).To(BeTrue())
+		Expect(r.b.Prospect(ms(4003), svc)).To(Equal(dgbalance.Usable))
 	})
 	It("R6 gives a silent replica one request at a time (guards against all callers waiting for a dark replica)", func() {
 		r := newRig()
@@ -154,6 +154,7 @@
 		r := newRig()
 		r.update(0, inst("a"))
 		Expect(r.play(0, steady, dgbalance.Moved)).To(Equal("a"))
+		Expect(r.b.Prospect(ms(31), svc)).To(Equal(dgbalance.None))
 		for at := 31; at < 5000; at += 10 {
 			Expect(r.play(ms(at), steady, dgbalance.Moved)).To(BeEmpty())
 		}
@@ -167,11 +168,11 @@
 		r.update(0, inst("a"))
 		r.play(0, steady, dgbalance.Unreached)
 		r.update(ms(1), inst("a"))
-		Expect(r.b.Usable(ms(2), svc)).To(BeFalse())
+		Expect(r.b.Prospect(ms(2), svc)).To(Equal(dgbalance.Down))
 		again := inst("a")
 		again.Born = 77
 		r.update(ms(3), again)
-		Expect(r.b.Usable(ms(4), svc)).To(BeTrue())
+		Expect(r.b.Prospect(ms(4), svc)).To(Equal(dgbalance.Usable))
 	})
 })
 
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -12,6 +12,7 @@
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgbackend"
+	"dandeliongap.example/dandeliongap/dgbalance"
 	"github.com/valyala/fasthttp"
 )
 
@@ -109,15 +110,13 @@
 	if e.closing.Load() {
 		return dgadmit.Leaving()
 	}
-	usable := 0
+	var count [dgbalance.Usable + 1]int
 	e.mu.Lock()
 	for _, s := range c.shards {
-		if e.bal.Usable(c.arrived, s) {
-			usable++
-		}
+		count[e.bal.Prospect(c.arrived, s)]++
 	}
 	e.mu.Unlock()
-	return dgadmit.Coverage(usable, len(c.shards), c.route.MinCoverage)
+	return dgadmit.Coverage(count[dgbalance.Usable], count[dgbalance.Down], len(c.shards), c.route.MinCoverage)
 }
 
 // connectionHeaders concern one connection only and are not forwarded.
