--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -11,11 +11,12 @@
 //	    times its requests under way, divided by its share of successes. Nearly equal
 //	    costs are decided at random.
 //	R4  Slowness is learned from answers, relative to the route's typical latency,
-//	    and fades without new ones. A request that is under way counts with its age.
+//	    and fades without new ones. A request under way counts with its age, from the
+//	    replica's last answer on: one that answers others does not pause.
 //	R5  A replica that refused a connection or broke one is not used for a time that
 //	    doubles, and then for one request until that one succeeds.
-//	R6  A replica whose oldest request is older than StuckAfter gets one request at
-//	    a time, each ProbeEvery.
+//	R6  A replica that has answered nothing for StuckAfter, while it had a request,
+//	    gets one request at a time, each ProbeEvery.
 //	R7  A cold replica with a limit gets this VM's share of that rate.
 //	R8  A replica whose address answers for another instance is gone. Requests there
 //	    would only load the service that has the address now. It is looked for again
@@ -56,6 +57,9 @@
 	// about the time in which its registration lapses.
 	MovedFor = 5 * time.Second
 
+	// typicalDefault stands for the typical latency of a route without answers.
+	typicalDefault = 50 * time.Millisecond
+
 	// costSpread is the difference of costs that decides nothing: what was learned of
 	// a replica is no more exact, and one that was slow must be tried again.
 	costSpread = 0.25
@@ -90,6 +94,7 @@
 	allowed int // connections (R2)
 
 	started   []dandeliongap.Instant // requests under way
+	answered  dandeliongap.Instant   // last whole answer
 	slow      float64
 	fail      float64
 	learnedAt dandeliongap.Instant
@@ -245,7 +250,16 @@
 	if r.downFor > 0 && len(r.started) > 0 {
 		return true
 	}
-	return len(r.started) > 0 && now.Sub(r.started[0]) > StuckAfter && now < r.probeAt
+	return r.silence(now) > StuckAfter && now < r.probeAt
+}
+
+// silence returns how long the replica has answered nothing while it had a
+// request.
+func (r *replica) silence(now dandeliongap.Instant) time.Duration {
+	if len(r.started) == 0 {
+		return 0
+	}
+	return now.Sub(max(r.started[0], r.answered))
 }
 
 // Pick selects a replica and counts the request as under way (R1 to R8). Without
@@ -282,7 +296,7 @@
 	if best.inCold(now) {
 		best.coldTokens--
 	}
-	if len(best.started) > 0 && now.Sub(best.started[0]) > StuckAfter {
+	if best.silence(now) > StuckAfter {
 		best.probeAt = now.Add(ProbeEvery)
 	}
 	best.started = append(best.started, now)
@@ -322,9 +336,8 @@
 	if now < r.coldEnd {
 		slow *= coldSlowness
 	}
-	if len(r.started) > 0 {
-		typical := b.Typical(route, 50*time.Millisecond)
-		slow = max(slow, float64(now.Sub(r.started[0]))/float64(typical))
+	if silent := r.silence(now); silent > 0 {
+		slow = max(slow, float64(silent)/float64(b.Typical(route, typicalDefault)))
 	}
 	return slow * float64(1+len(r.started)) / (1 - min(fail, maxFail))
 }
@@ -342,7 +355,7 @@
 	switch result {
 	case Answered:
 		b.learn(now, route, r, took, 0)
-		r.downFor, r.downUntil = 0, 0
+		r.downFor, r.downUntil, r.answered = 0, 0, now
 	case Refused:
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
 	case Moved:
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -150,6 +150,18 @@
 		}
 		Expect(sent).To(Equal(4))
 	})
+	It("R6 goes on with a replica that hangs only some requests (guards against losing all of a shard whose only replica does so; day replicas)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		for at := range 20 {
+			r.play(ms(at*50), steady, dgbalance.Answered)
+		}
+		_, _, err := r.b.Pick(ms(1000), route, svc, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for at := 1000; at < 5000; at += 50 {
+			Expect(r.play(ms(at), steady, dgbalance.Answered)).To(Equal("a"))
+		}
+	})
 	It("R8 sends nothing more to an address that another instance has (guards against requests that count at a service they are not for; matrita-cauta trouble-1, seed 1098263257934)", func() {
 		r := newRig()
 		r.update(0, inst("a"))
