--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -231,3 +232,40 @@
 		Expect(accepted.Load()).To(BeEquivalentTo(2))
 	})
 })
+
+// FuzzForwardAnswer guards against bytes of a faulty backend server that end the
+// process or that are taken for the answer to another request.
+func FuzzForwardAnswer(f *testing.F) {
+	for _, a := range []string{answer("1", "x"), answer("2", "x") + answer("1", "y"), "HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\nff\nx",
+		"HTTP/1.1 999999 X\nId: 1\n\n", "HTTP/1.1 200 OK\nContent-Length: -5\nId: 1\n\n", "\x00\x01", "HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\nId: 1\nContent-Length: 0\n\n"} {
+		f.Add([]byte(strings.ReplaceAll(a, "\n", "\r\n")))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Skip(err)
+		}
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write(raw)
+			}
+		}()
+		fw := dgbackend.NewForwarder(forwardNames)
+		defer fw.Close()
+		var call dgbackend.Call
+		rep := fw.Send(&call, &dandeliongap.Instance{ID: "i", Address: l.Addr().String()}, forward("1"), time.Now().Add(patience))
+		if rep.Kind != dgbackend.ReplyAnswer {
+			return
+		}
+		defer fasthttp.ReleaseResponse(rep.Resp)
+		if rep.Resp.StatusCode() < 300 && string(rep.Resp.Header.Peek("Id")) != "1" {
+			t.Fatalf("took %q", raw)
+		}
+	})
+}
--- /dev/null
+++ b/dgedge/settings_test.go
@@ -0,0 +1,80 @@
+package dgedge_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgedge"
+)
+
+func TestEdge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgedge")
+}
+
+const settings = `[edge]
+vm = vm-1
+zone = z
+store = 127.0.0.1:1
+first start = true
+entry listen = 127.0.0.1:2
+ready listen = 127.0.0.1:3
+directory listen = 127.0.0.1:4
+gossip listen = 127.0.0.1:5
+shutdown limit = 6s
+directory keep = 5s
+retry ratio = 0.2
+retry slack = 52
+retry window = 10s
+`
+
+var _ = Describe("ParseSettings", func() {
+	It("reads every key", func() {
+		s, err := dgedge.ParseSettings([]byte(settings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s).To(Equal(dgedge.Settings{VM: "vm-1", Zone: "z", Store: "127.0.0.1:1", First: true, Entry: "127.0.0.1:2", Ready: "127.0.0.1:3",
+			Names: "127.0.0.1:4", Gossip: "127.0.0.1:5", ShutdownLimit: 6 * time.Second, NamesKeep: 5 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second}))
+	})
+	DescribeTable("names the key at fault (guards against a VM that starts with half of its settings)",
+		func(key, value string) {
+			var lines []string
+			for line := range strings.SplitSeq(settings, "\n") {
+				if strings.HasPrefix(line, key+" =") {
+					line = key + " = " + value
+				}
+				lines = append(lines, line)
+			}
+			_, err := dgedge.ParseSettings([]byte(strings.Join(lines, "\n")))
+			Expect(err).To(MatchError(dandeliongap.ErrInvalid))
+			Expect(err).To(MatchError(ContainSubstring(`"` + key + `"`)))
+		},
+		Entry(nil, "vm", ""),
+		Entry(nil, "store", "host:80"),
+		Entry(nil, "first start", "perhaps"),
+		Entry(nil, "entry listen", "127.0.0.1"),
+		Entry(nil, "shutdown limit", "6"),
+		Entry(nil, "directory keep", "-1s"),
+		Entry(nil, "retry ratio", "2"),
+		Entry(nil, "retry slack", "many"),
+	)
+})
+
+// FuzzParseSettings guards against a settings file that ends the process or that
+// is taken although a key is missing.
+func FuzzParseSettings(f *testing.F) {
+	f.Add([]byte(settings))
+	f.Add([]byte("[edge\nvm"))
+	f.Add([]byte("[edge]\nvm = \x00\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := dgedge.ParseSettings(text)
+		if err == nil && (s.VM == "" || s.Entry == "" || s.ShutdownLimit <= 0) {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
