--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -50,6 +50,9 @@
 
 	// StuckAfter is longer than the pauses of healthy replicas, 250 ms.
 	StuckAfter = 400 * time.Millisecond
+	// darkAfter is the silence after which an answer is unlikely: slow replicas take
+	// up to twelve times as long as usual.
+	darkAfter = time.Second
 	// ProbeEvery bounds the load on replicas that do not answer.
 	ProbeEvery = 250 * time.Millisecond
 
@@ -116,6 +119,7 @@
 	Start    dandeliongap.Instant
 	Cost     float64 // that decided (R3)
 	Usable   int     // replicas that were compared
+	Trial    bool    // the replica was down or silent: an answer is unlikely
 }
 
 // Balancer is not safe for concurrent use.
@@ -296,11 +300,13 @@
 	if best.inCold(now) {
 		best.coldTokens--
 	}
-	if best.silence(now) > StuckAfter {
+	trial := best.downFor > 0
+	if silent := best.silence(now); silent > StuckAfter {
 		best.probeAt = now.Add(ProbeEvery)
+		trial = trial || silent > darkAfter
 	}
 	best.started = append(best.started, now)
-	return Ticket{Instance: best.inst, Allowed: best.allowed, Start: now, Cost: bestCost, Usable: usable}, 0, nil
+	return Ticket{Instance: best.inst, Allowed: best.allowed, Start: now, Cost: bestCost, Usable: usable, Trial: trial}, 0, nil
 }
 
 // busyRetry is the wait for a connection or a cold replica's next request.
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -132,6 +132,7 @@
 		Expect(r.b.Prospect(ms(2000), svc)).To(Equal(dgbalance.Down))
 		t, _, err := r.b.Pick(ms(4000), route, svc, nil)
 		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Trial).To(BeTrue())
 		_, _, err = r.b.Pick(ms(4001), route, svc, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
 		r.b.Done(ms(4002), route, &t, dgbalance.Answered)
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -145,7 +145,7 @@
 	a := &attempt{shard: s.Shard, extra: s.Extra, ticket: ticket}
 	co.attempts = append(co.attempts, a)
 	co.used[s.Shard] = append(co.used[s.Shard], ticket.Instance.ID)
-	co.g.Sent(now, s.Shard)
+	co.g.Sent(now, s.Shard, ticket.Trial)
 	e.stats.add("Attempts")
 	if s.Extra {
 		co.extras++
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -18,7 +18,8 @@
 //	    coverage is enough for the route. After that it goes out as soon as it is.
 //	G6  When no missing part can arrive any more, the request ends: with an answer if
 //	    the coverage is enough, as failed otherwise. An answer with enough coverage
-//	    does not wait for shards of which no replica may be used.
+//	    does not wait for shards of which no replica may be used, or whose only
+//	    attempts try replicas that were down or silent.
 //	    A request whose missing parts could only come after the latency objective, and
 //	    that lacks coverage, ends too, so that the caller can come back in time.
 //	G7  At the deadline the request ends in the same way.
@@ -73,8 +74,9 @@
 
 type shard struct {
 	phase    phase
-	out      int // attempts under way
-	attempts int // sends that reached a replica or are under way
+	out      int  // attempts under way
+	attempts int  // sends that reached a replica or are under way
+	trials   bool // all attempts were trials
 	unsure   bool
 	lastSent dandeliongap.Instant
 	retry    dandeliongap.Instant // next time to try a send
@@ -160,7 +162,7 @@
 			wake = min(wake, at)
 		}
 		near := s.phase != done && (due || s.out > 0 || at > 0 && at.Sub(now) < shortWait)
-		soon = soon || near
+		soon = soon || near && !(s.trials && s.out > 0)
 		if near || at > 0 && at < g.answerAt {
 			chances++
 		}
@@ -221,9 +223,11 @@
 	return parts > 0 && float64(parts) >= g.o.Route.MinCoverage*float64(len(g.shards))
 }
 
-// Sent records that an attempt is under way.
-func (g *Gather) Sent(now dandeliongap.Instant, i int) {
+// Sent records that an attempt is under way; trial tells that its replica was down
+// or silent.
+func (g *Gather) Sent(now dandeliongap.Instant, i int, trial bool) {
 	s := &g.shards[i]
+	s.trials = trial && (s.out == 0 || s.trials)
 	s.phase = away
 	s.out++
 	s.attempts++
--- a/dggather/dggather_test.go
+++ b/dggather/dggather_test.go
@@ -51,7 +51,7 @@
 func sendAll(g *dggather.Gather, now dandeliongap.Instant) []dggather.Send {
 	sends, _, _ := g.Step(now, nil)
 	for _, s := range sends {
-		g.Sent(now, s.Shard)
+		g.Sent(now, s.Shard, false)
 	}
 	return sends
 }
@@ -137,7 +137,7 @@
 		g := search(nil)
 		sends, _, _ := g.Step(0, nil)
 		for _, s := range sends[:4] {
-			g.Sent(0, s.Shard)
+			g.Sent(0, s.Shard, false)
 		}
 		g.Unsent(0, 4, ms(250))
 		for i := range 4 {
@@ -150,18 +150,30 @@
 		g := search(nil)
 		sends, _, _ := g.Step(0, nil)
 		for _, s := range sends[:4] {
-			g.Sent(0, s.Shard)
+			g.Sent(0, s.Shard, false)
 			g.Part(s.Shard)
 		}
 		g.Unsent(0, 4, ms(5))
 		Expect(verdict(g, ms(1))).To(Equal(dggather.Open))
 		Expect(sendAll(g, ms(5))).To(HaveLen(1))
 	})
+	It("G6 does not wait for a replica that is only tried (guards against callers that wait until the objective for a shard that is dark; inc-83ae)", func() {
+		g := search(nil)
+		sends, _, _ := g.Step(0, nil)
+		for _, s := range sends {
+			g.Sent(0, s.Shard, s.Shard == 4)
+		}
+		for i := range 4 {
+			Expect(verdict(g, ms(20))).To(Equal(dggather.Open))
+			g.Part(i)
+		}
+		Expect(verdict(g, ms(21))).To(Equal(dggather.Partial))
+	})
 	It("G6 ends a search that can only reach its coverage after the objective (guards against callers that wait until their deadline in vain)", func() {
 		g := search(nil)
 		sends, _, _ := g.Step(0, nil)
 		for _, s := range sends[:2] {
-			g.Sent(0, s.Shard)
+			g.Sent(0, s.Shard, false)
 		}
 		for _, s := range sends[2:] {
 			g.Unsent(0, s.Shard, ms(100))
@@ -216,7 +228,7 @@
 				if ran[s.Shard] && !repeatable {
 					t.Fatal("sent again what may not be repeated")
 				}
-				g.Sent(now, s.Shard)
+				g.Sent(now, s.Shard, false)
 				sent[s.Shard]++
 				reached[s.Shard]++
 				if reached[s.Shard] > 2 {
