--- /dev/null
+++ b/dgedge/log_test.go
@@ -0,0 +1,47 @@
+package dgedge_test
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dandeliongap.example/dandeliongap/dgedge"
+)
+
+// BenchmarkRequestLine measures the processor time of one line of a request.
+func BenchmarkRequestLine(b *testing.B) { dgedge.RequestLines(io.Discard, b.N) }
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       bytes.Buffer
+}
+
+func (w *blocked) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(b)
+}
+
+var _ = Describe("the log", func() {
+	It("never waits for its output and says how many lines were left out (guards against requests that wait for a slow log)", func() {
+		w := &blocked{release: make(chan struct{})}
+		done := make(chan struct{})
+		go func() {
+			time.AfterFunc(300*time.Millisecond, func() { close(w.release) })
+			dgedge.RequestLines(w, 20_000)
+			close(done)
+		}()
+		Eventually(done, 20*time.Second).Should(BeClosed())
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		Expect(bytes.Count(w.b.Bytes(), []byte("\n"))).To(BeNumerically("<", 20_000))
+	})
+})
