--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -50,6 +50,9 @@
 
 	// StuckAfter is longer than the pauses of healthy replicas, 250 ms.
 	StuckAfter = 400 * time.Millisecond
+	// soonGivenUp is shorter than the objectives after which late requests are given
+	// up.
+	soonGivenUp = 60 * time.Millisecond
 	// darkAfter is the silence after which an answer is unlikely: slow replicas take
 	// up to twelve times as long as usual.
 	darkAfter = time.Second
@@ -97,7 +100,8 @@
 	allowed int // connections (R2)
 
 	started   []dandeliongap.Instant // requests under way
-	answered  dandeliongap.Instant   // last whole answer
+	silent    bool                   // a request was sent since the last answer
+	silentAt  dandeliongap.Instant   // the first of these
 	slow      float64
 	fail      float64
 	learnedAt dandeliongap.Instant
@@ -257,13 +261,13 @@
 	return r.silence(now) > StuckAfter && now < r.probeAt
 }
 
-// silence returns how long the replica has answered nothing while it had a
-// request.
+// silence returns how long ago the first request was sent of which, and of all
+// later ones, the replica has answered none. Requests that were given up count.
 func (r *replica) silence(now dandeliongap.Instant) time.Duration {
-	if len(r.started) == 0 {
+	if !r.silent {
 		return 0
 	}
-	return now.Sub(max(r.started[0], r.answered))
+	return now.Sub(r.silentAt)
 }
 
 // Pick selects a replica and counts the request as under way (R1 to R8). Without
@@ -306,6 +310,9 @@
 		trial = trial || silent > darkAfter
 	}
 	best.started = append(best.started, now)
+	if !best.silent {
+		best.silent, best.silentAt = true, now
+	}
 	return Ticket{Instance: best.inst, Allowed: best.allowed, Start: now, Cost: bestCost, Usable: usable, Trial: trial}, 0, nil
 }
 
@@ -358,10 +365,11 @@
 		r.started = slices.Delete(r.started, i, i+1)
 	}
 	took := now.Sub(t.Start)
+	r.hear(now, result, took)
 	switch result {
 	case Answered:
 		b.learn(now, route, r, took, 0)
-		r.downFor, r.downUntil, r.answered = 0, 0, now
+		r.downFor, r.downUntil = 0, 0
 	case Refused:
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
 	case Moved:
@@ -379,6 +387,18 @@
 	}
 }
 
+// hear ends the silence of a replica that answered something. A request that was
+// given up soon says nothing about it.
+func (r *replica) hear(now dandeliongap.Instant, result Result, took time.Duration) {
+	switch {
+	case result == Abandoned && (took >= soonGivenUp || len(r.started) > 0):
+	case result != Abandoned && len(r.started) > 0:
+		r.silentAt = now
+	default:
+		r.silent = false
+	}
+}
+
 // learn takes a latency and a success (0) or failure (1) into account (R4).
 func (b *Balancer) learn(now dandeliongap.Instant, route dandeliongap.RouteName, r *replica, took time.Duration, failed float64) {
 	typical := b.Typical(route, took)
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -151,6 +151,26 @@
 		}
 		Expect(sent).To(Equal(4))
 	})
+	It("R6 remembers the silence of requests that were given up (guards against a dark replica that gets a request from each caller; inc-83ae)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		sent, last := 0, dgbalance.Ticket{}
+		for at := 1; at < 4000; at += 10 {
+			t, _, err := r.b.Pick(ms(at), route, svc, nil)
+			if err != nil {
+				continue
+			}
+			sent++
+			last = t
+			r.b.Done(ms(at+200), route, &t, dgbalance.Abandoned)
+		}
+		Expect(sent).To(BeNumerically("<=", 40+16), "before the silence is noticed, then four a second")
+		Expect(last.Trial).To(BeTrue())
+		r.b.Done(ms(4000), route, &last, dgbalance.Answered)
+		for at := 4001; at < 5000; at += 50 {
+			Expect(r.play(ms(at), steady, dgbalance.Answered)).To(Equal("a"))
+		}
+	})
 	It("R6 goes on with a replica that hangs only some requests (guards against losing all of a shard whose only replica does so; day replicas)", func() {
 		r := newRig()
 		r.update(0, inst("a"))
--- a/dggather/load_test.go
+++ b/dggather/load_test.go
@@ -295,6 +295,8 @@
 		}})
 		Expect(own.share(own.inTime)).To(BeNumerically(">=", 0.99))
 		Expect(simple.share(simple.inTime)).To(BeNumerically("<", 0.5))
+		slices.Sort(own.latencies)
+		Expect(own.latencies[len(own.latencies)/2]).To(BeNumerically("<", 150*time.Millisecond), "most answers do not wait for the dark shard")
 	})
 	It("are mostly served in time while one replica of every seventh shard is ten times slower (guards against sending half of its requests to a slow replica)", func() {
 		own, simple := compare(load{rate: 70, length: 20 * time.Second, slow: func(s, r int, now time.Duration) float64 {
