--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -89,3 +89,8 @@
 func TooLarge(limit int) Refusal {
 	return Refusal{http.StatusRequestEntityTooLarge, "A0", "TooLarge", fmt.Sprintf("body above %d bytes", limit), 0}
 }
+
+// HeaderTooLarge refuses headers above the configured limit.
+func HeaderTooLarge(limit int) Refusal {
+	return Refusal{http.StatusRequestHeaderFieldsTooLarge, "A0", "HeaderTooLarge", fmt.Sprintf("headers above %d bytes", limit), 0}
+}
--- /dev/null
+++ b/dgedge/apply.go
@@ -0,0 +1,87 @@
+package dgedge
+
+import (
+	"strings"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgroute"
+)
+
+// applyRoutes takes a newer configuration into force; an older one never is.
+func (c *control) applyRoutes(o dandeliongap.Object) {
+	if o.Deleted {
+		c.e.log.event("configuration removed").Uint64("Version", uint64(o.Version)).Str("Choice", "keep the last one").Send()
+		return
+	}
+	cfg, err := c.e.opt.Store.DecodeRoutes(o)
+	if err != nil {
+		c.e.log.event("configuration invalid").Uint64("Version", uint64(o.Version)).Err(err).Str("Choice", "keep the last one").Send()
+		return
+	}
+	if c.table != nil && cfg.Version <= c.table.Config.Version {
+		return
+	}
+	t := dgroute.New(cfg)
+	c.e.mu.Lock()
+	t.Inherit(c.table)
+	c.e.mu.Unlock()
+	c.table = t
+	c.e.log.event("configuration in force").Uint64("Version", uint64(cfg.Version)).Uint64("Number", cfg.Number).
+		Int("Routes", len(cfg.Routes)).Int("Services", len(cfg.Services)).Send()
+}
+
+func (c *control) applyInstances(now dandeliongap.Instant, b batch) {
+	var list []dandeliongap.Instance
+	var versions []dandeliongap.Version
+	for _, o := range b.objects {
+		id := dandeliongap.InstanceID(baseName(o.Name))
+		if o.Deleted {
+			c.catalog.Remove(now, id)
+			c.e.log.event("replica removed").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Send()
+			continue
+		}
+		in, err := c.e.opt.Store.DecodeInstance(o)
+		if err != nil {
+			c.e.log.event("registration unreadable").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Err(err).Send()
+			c.catalog.Remove(now, id)
+			continue
+		}
+		if !b.full {
+			c.catalog.Put(now, in, o.Version)
+			c.e.log.event("replica changed").Str("Replica", string(id)).Str("Service", string(in.Service)).
+				Str("Address", in.Address).Bool("Draining", in.Draining).Dur("Cold", in.ColdFor).Uint64("Version", uint64(o.Version)).Send()
+			continue
+		}
+		list = append(list, in)
+		versions = append(versions, o.Version)
+	}
+	if b.full {
+		c.catalog.Replace(now, list, versions)
+		c.e.log.event("replicas listed").Int("Replicas", len(list)).Uint64("Version", uint64(b.version)).Send()
+	}
+}
+
+func (c *control) applyZones(b batch) {
+	out := make(map[dandeliongap.ZoneName]bool)
+	if !b.full {
+		for z := range c.zonesOut {
+			out[z] = true
+		}
+	}
+	for _, o := range b.objects {
+		z := dandeliongap.ZoneName(baseName(o.Name))
+		if o.Deleted {
+			delete(out, z)
+		} else {
+			out[z] = true
+		}
+		c.e.log.event("zone changed").Str("Zone", string(z)).Bool("Out", !o.Deleted).Uint64("Version", uint64(o.Version)).Send()
+	}
+	c.zonesOut = out
+}
+
+// baseName returns the name of an object without its kind.
+func baseName(n dandeliongap.ObjectName) string {
+	_, name, _ := strings.Cut(string(n), "/")
+	return name
+}
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,10 +19,6 @@
 // missed a configuration: a watch ends sooner than that.
 const storeStaleAfter = waitMost + 5*time.Second
 
-// forgetAfter is the age of a lost VM's last beat at which its registration is
-// removed; a VM that was only paused registers again.
-const forgetAfter = 30 * time.Second
-
 // batch is what one answer of the store brought, or that it brought none.
 type batch struct {
 	kind    string
@@ -235,113 +228,6 @@
 	c.heard = now
 }
 
-// applyRoutes takes a newer configuration into force; an older one never is.
-func (c *control) applyRoutes(o dandeliongap.Object) {
-	if o.Deleted {
-		c.e.log.event("configuration removed").Uint64("Version", uint64(o.Version)).Str("Choice", "keep the last one").Send()
-		return
-	}
-	cfg, err := c.e.opt.Store.DecodeRoutes(o)
-	if err != nil {
-		c.e.log.event("configuration invalid").Uint64("Version", uint64(o.Version)).Err(err).Str("Choice", "keep the last one").Send()
-		return
-	}
-	if c.table != nil && cfg.Version <= c.table.Config.Version {
-		return
-	}
-	t := dgroute.New(cfg)
-	c.e.mu.Lock()
-	t.Inherit(c.table)
-	c.e.mu.Unlock()
-	c.table = t
-	c.e.log.event("configuration in force").Uint64("Version", uint64(cfg.Version)).Uint64("Number", cfg.Number).
-		Int("Routes", len(cfg.Routes)).Int("Services", len(cfg.Services)).Send()
-}
-
-func (c *control) applyInstances(now dandeliongap.Instant, b batch) {
-	var list []dandeliongap.Instance
-	var versions []dandeliongap.Version
-	for _, o := range b.objects {
-		id := dandeliongap.InstanceID(baseName(o.Name))
-		if o.Deleted {
-			c.catalog.Remove(now, id)
-			c.e.log.event("replica removed").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Send()
-			continue
-		}
-		in, err := c.e.opt.Store.DecodeInstance(o)
-		if err != nil {
-			c.e.log.event("registration unreadable").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Err(err).Send()
-			c.catalog.Remove(now, id)
-			continue
-		}
-		if !b.full {
-			c.catalog.Put(now, in, o.Version)
-			c.e.log.event("replica changed").Str("Replica", string(id)).Str("Service", string(in.Service)).
-				Str("Address", in.Address).Bool("Draining", in.Draining).Dur("Cold", in.ColdFor).Uint64("Version", uint64(o.Version)).Send()
-			continue
-		}
-		list = append(list, in)
-		versions = append(versions, o.Version)
-	}
-	if b.full {
-		c.catalog.Replace(now, list, versions)
-		c.e.log.event("replicas listed").Int("Replicas", len(list)).Uint64("Version", uint64(b.version)).Send()
-	}
-}
-
-func (c *control) applyZones(b batch) {
-	out := make(map[dandeliongap.ZoneName]bool)
-	if !b.full {
-		for z := range c.zonesOut {
-			out[z] = true
-		}
-	}
-	for _, o := range b.objects {
-		z := dandeliongap.ZoneName(baseName(o.Name))
-		if o.Deleted {
-			delete(out, z)
-		} else {
-			out[z] = true
-		}
-		c.e.log.event("zone changed").Str("Zone", string(z)).Bool("Out", !o.Deleted).Uint64("Version", uint64(o.Version)).Send()
-	}
-	c.zonesOut = out
-}
-
-func (c *control) applyMembers(now dandeliongap.Instant, b batch) {
-	if b.full {
-		clear(c.members)
-	}
-	for _, o := range b.objects {
-		vm := dandeliongap.VMName(baseName(o.Name))
-		var m dandeliongap.EdgeMember
-		if o.Deleted {
-			delete(c.members, vm)
-		} else if err := json.Unmarshal(o.Body, &m); err != nil || m.Entry == "" {
-			c.e.log.event("member unreadable").Str("Member", string(vm)).AnErr("Error", err).Send()
-			continue
-		} else {
-			c.members[vm] = m
-			c.versions[vm] = o.Version
-			if _, ok := c.since[vm]; !ok {
-				c.since[vm] = now
-			}
-		}
-		c.e.log.event("member changed").Str("Member", string(vm)).Bool("Removed", o.Deleted).Str("Entry", m.Entry).Send()
-	}
-	if own, ok := c.members[c.e.opt.Settings.VM]; !ok || own.Boot != c.e.boot {
-		c.regMu.Lock()
-		c.registered = false
-		c.regMu.Unlock()
-	}
-}
-
-// baseName returns the name of an object without its kind.
-func baseName(n dandeliongap.ObjectName) string {
-	_, name, _ := strings.Cut(string(n), "/")
-	return name
-}
-
 // refresh gives the control state to the decisions of requests.
 func (c *control) refresh() {
 	e, now := c.e, c.e.now()
@@ -364,38 +250,6 @@
 	c.publish()
 }
 
-// vms returns the registered VMs, this one included.
-func (c *control) vms() []dandeliongap.VMName {
-	out := []dandeliongap.VMName{c.e.opt.Settings.VM}
-	for vm := range c.members {
-		if vm != c.e.opt.Settings.VM {
-			out = append(out, vm)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// sharing returns the VMs among which the connections of replicas are dealt out:
-// those that are present, and others up to half of all. VMs whose views differ
-// then use at most twice the connections that are dealt out.
-func (c *control) sharing(now dandeliongap.Instant) []dandeliongap.VMName {
-	all := c.vms()
-	var out, away []dandeliongap.VMName
-	for _, vm := range all {
-		if alive, _ := c.presence.Present(now, vm); alive || vm == c.e.opt.Settings.VM {
-			out = append(out, vm)
-		} else {
-			away = append(away, vm)
-		}
-	}
-	if missing := (len(all)+1)/2 - len(out); missing > 0 {
-		out = append(out, away[:missing]...)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // publish replaces the view of requests.
 func (c *control) publish() {
 	e, now := c.e, c.e.now()
@@ -439,41 +293,3 @@
 	c.forget(now)
 	c.e.log.report()
 }
-
-// forget removes the registration of VMs that are lost for good. One of the VMs
-// that are present does so.
-func (c *control) forget(now dandeliongap.Instant) {
-	if len(c.lostKind) > 0 || !c.known[dandeliongap.KindMembers] {
-		return
-	}
-	for vm := range c.members {
-		if alive, _ := c.presence.Present(now, vm); alive && vm < c.e.opt.Settings.VM {
-			return
-		}
-	}
-	for vm := range c.members {
-		age, heard := c.presence.Age(now, vm)
-		if !heard {
-			age = now.Sub(c.since[vm])
-		}
-		if vm == c.e.opt.Settings.VM || age < forgetAfter || now.Sub(c.since[vm]) < forgetAfter {
-			continue
-		}
-		version := c.versions[vm]
-		delete(c.members, vm)
-		delete(c.since, vm)
-		c.e.log.event("member forgotten").Str("Member", string(vm)).Dur("Age", age).Send()
-		c.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-			defer cancel()
-			if err := c.e.opt.Store.Delete(ctx, memberObject(vm), version); err != nil {
-				c.e.log.event("member not removed").Str("Member", string(vm)).Err(err).Send()
-			}
-		})
-	}
-}
-
-// memberObject names the registration of a VM.
-func memberObject(vm dandeliongap.VMName) dandeliongap.ObjectName {
-	return dandeliongap.ObjectName(fmt.Sprintf("%s/%s", dandeliongap.KindMembers, vm))
-}
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -202,50 +201,3 @@
 	case <-c.ctx.Done():
 	}
 }
-
-// register keeps the registration of this VM in the store.
-func (c *control) register() {
-	s := c.e.opt.Settings
-	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.Entry, Gossip: s.Gossip, Boot: c.e.boot})
-	if err != nil {
-		c.e.log.event("not registered").Err(err).Send()
-		return
-	}
-	var version dandeliongap.Version
-	for c.ctx.Err() == nil {
-		c.regMu.Lock()
-		needed := !c.registered
-		c.regMu.Unlock()
-		if needed {
-			version, err = c.put(body, version)
-			if err != nil {
-				c.e.log.event("not registered").Err(err).Send()
-				c.awaitSignal(probeOthers)
-			} else {
-				c.regMu.Lock()
-				c.registered = true
-				c.regMu.Unlock()
-			}
-		}
-		c.sleep(registerEvery)
-	}
-}
-
-// put writes the registration over the one that is there.
-func (c *control) put(body []byte, version dandeliongap.Version) (dandeliongap.Version, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-	defer cancel()
-	name := memberObject(c.e.opt.Settings.VM)
-	next, err := c.e.opt.Store.Put(ctx, name, body, version)
-	if !errors.Is(err, dandeliongap.ErrConflict) && !errors.Is(err, dandeliongap.ErrNotFound) {
-		return next, err
-	}
-	o, err := c.e.opt.Store.Get(ctx, name)
-	if errors.Is(err, dandeliongap.ErrNotFound) {
-		return c.e.opt.Store.Put(ctx, name, body, 0)
-	}
-	if err != nil {
-		return version, err
-	}
-	return c.e.opt.Store.Put(ctx, name, body, o.Version)
-}
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -91,7 +91,11 @@
 	if c.id == "" {
 		return c, dgadmit.Invalid("header " + e.opt.Dialect.Backend.RequestID + " is missing")
 	}
-	if l := v.table.Config.Limits; l.BodyBytes > 0 && len(ctx.Request.Body()) > l.BodyBytes {
+	l := v.table.Config.Limits
+	if l.HeaderBytes > 0 && len(h.RawHeaders()) > l.HeaderBytes {
+		return c, dgadmit.HeaderTooLarge(l.HeaderBytes)
+	}
+	if l.BodyBytes > 0 && len(ctx.Request.Body()) > l.BodyBytes {
 		return c, dgadmit.TooLarge(l.BodyBytes)
 	}
 	c.deadline = now.Add(limit)
