Cancel sub-requests 20 ms after the answer

Ruled out: second requests (3 to 5% there), the budget (NoBudget 0). A replica that was cut off costs a new connection (6 ms).

--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -22,7 +22,7 @@
 
 // leftoverGrace is how long sub-requests may go on after the answer went out. A
 // replica that only paused ends them in that time, and its connection is kept.
-const leftoverGrace = 250 * time.Millisecond
+const leftoverGrace = 20 * time.Millisecond
 
 // attempt is one sub-request under way.
 type attempt struct {
