--- /dev/null
+++ b/cmd/dandeliongap-edge/process_test.go
@@ -0,0 +1,116 @@
+package main_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+
+	"dandeliongap.example/dandeliongap/platform"
+	. "github.com/onsi/gomega"
+)
+
+const patience = "60s" // far above what is needed; only a hang takes this long
+
+// output collects what a process writes.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(b)
+}
+
+func (o *output) text() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(g *WithT) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func build(t *testing.T, g *WithT) string {
+	program := filepath.Join(t.TempDir(), "dandeliongap-edge")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
+
+func settings(g *WithT, ready, slack string) string {
+	return fmt.Sprintf("[edge]\nvm = vm-1\nzone = z\nstore = %s\nfirst start = true\nentry listen = %s\nready listen = %s\ndirectory listen = %s\n"+
+		"gossip listen = %s\nshutdown limit = 2s\ndirectory keep = 5s\nretry ratio = 0.2\nretry slack = %s\nretry window = 10s\n",
+		freeAddress(g), freeAddress(g), ready, freeAddress(g), freeAddress(g), slack)
+}
+
+// TestProcess guards against a process that needs the store to start, that SIGHUP
+// or a changed settings file ends or leaves unchanged, that takes faulty settings,
+// or that does not end at SIGTERM.
+func TestProcess(t *testing.T) {
+	g := NewWithT(t)
+	program, ready := build(t, g), freeAddress(g)
+	file := filepath.Join(t.TempDir(), "edge.ini")
+	g.Expect(os.WriteFile(file, []byte(settings(g, ready, "52")), 0o600)).To(Succeed())
+	var out output
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "DANDELIONGAP_SETTINGS="+file)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	g.Expect(cmd.Start()).To(Succeed())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+
+	g.Eventually(func() int {
+		resp, err := http.Get("http://" + ready + platform.Dialect().Ready)
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}, patience).Should(Equal(http.StatusServiceUnavailable), "it has no configuration")
+	g.Eventually(out.text, patience).Should(ContainSubstring(`"store lost"`))
+
+	g.Expect(os.WriteFile(file, []byte("[edge]\nvm =\n"), 0o600)).To(Succeed())
+	g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	g.Eventually(out.text, patience).Should(ContainSubstring(`"reload failed"`))
+	g.Expect(os.WriteFile(file, []byte(settings(g, ready, "77")), 0o600)).To(Succeed())
+	g.Eventually(out.text, patience).Should(ContainSubstring(`"RetrySlack":77`), "without a signal")
+
+	g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(cmd.Wait()).To(Succeed(), "exit code of a graceful stop: %s", out.text())
+	g.Expect(out.text()).To(ContainSubstring(`"stopped"`))
+}
+
+// TestSettings guards against a process that starts with faulty settings.
+func TestSettings(t *testing.T) {
+	g := NewWithT(t)
+	program := build(t, g)
+	file := filepath.Join(t.TempDir(), "edge.ini")
+	check := func() (string, int) {
+		out, err := exec.Command(program, "--check", "--settings", file).CombinedOutput()
+		if e, ok := err.(*exec.ExitError); ok {
+			return string(out), e.ExitCode()
+		}
+		g.Expect(err).NotTo(HaveOccurred())
+		return string(out), 0
+	}
+	g.Expect(os.WriteFile(file, []byte(settings(g, freeAddress(g), "many")), 0o600)).To(Succeed())
+	text, code := check()
+	g.Expect(code).To(Equal(2))
+	g.Expect(text).To(ContainSubstring(`"retry slack"`))
+	g.Expect(os.WriteFile(file, []byte(settings(g, freeAddress(g), "52")), 0o600)).To(Succeed())
+	_, code = check()
+	g.Expect(code).To(Equal(0))
+}
