Let requests that may not be repeated run on when their caller leaves

Cause: reading the code: a caller that left an order cut the order off halfway. The new test failed first (the replica saw its connection closed). Requests that may be repeated are still stopped.

--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -20,8 +20,9 @@
 // budgetRetry is the wait after an extra request for which there was no budget.
 const budgetRetry = 20 * time.Millisecond
 
-// leftoverGrace is how long sub-requests may go on after the answer went out. A
-// replica that only paused ends them in that time, and its connection is kept.
+// leftoverGrace is how long sub-requests may go on after the answer went out: those
+// about to end keep their connections, and the others give their slots to searches
+// that still wait.
 const leftoverGrace = 20 * time.Millisecond
 
 // attempt is one sub-request under way.
@@ -78,7 +79,9 @@
 	close(co.over)
 	switch {
 	case left:
-		co.abandon()
+		if c.route.Repeatable {
+			co.abandon() // what may not be repeated is not cut off halfway
+		}
 		ctx.SetConnectionClose()
 	case co.g.Outstanding() > 0:
 		time.AfterFunc(leftoverGrace, co.abandon)
