--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -19,6 +19,10 @@
 // missed a configuration: a watch ends sooner than that.
 const storeStaleAfter = waitMost + 5*time.Second
 
+// beatsQueue is the number of datagrams that may wait for the control goroutine;
+// the next beats make up for those that are dropped.
+const beatsQueue = 64
+
 // batch is what one answer of the store brought, or that it brought none.
 type batch struct {
 	kind    string
@@ -71,10 +75,10 @@
 
 func newControl(e *Edge) *control {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &control{
+	c := &control{
 		e: e, ctx: ctx, cancel: cancel,
 		batches:  make(chan batch),
-		beats:    make(chan []dgpresence.Beat, 64),
+		beats:    make(chan []dgpresence.Beat, beatsQueue),
 		poked:    make(chan struct{}, 1),
 		catalog:  dgcatalog.New(),
 		known:    make(map[string]bool),
@@ -91,6 +95,8 @@
 		behind:    make(map[string]dandeliongap.Instant),
 		back:      make(chan struct{}),
 	}
+	c.listenGossip()
+	return c
 }
 
 // kinds are the collections that a VM follows.
@@ -98,7 +104,6 @@
 
 // run owns the control state until the edge stops.
 func (c *control) run() {
-	c.listenGossip()
 	for _, kind := range kinds {
 		f := &follower{c: c, kind: kind, hint: make(chan struct{}, 1)}
 		c.followers[kind] = f
@@ -258,7 +263,7 @@
 	for _, kind := range kinds {
 		v.ready = v.ready && c.known[kind]
 	}
-	v.stale = now.Sub(c.heard) > storeStaleAfter
+	v.stale = c.lostKind[dandeliongap.KindRoutes] || now.Sub(c.heard) > storeStaleAfter
 	if v.ready && !e.leaving.Load() {
 		v.names = append(v.names, e.opt.Settings.Entry)
 	}
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -37,17 +37,17 @@
 )
 
 const (
-	// gatherVMs is the number of VMs up to which followers wait as gather says; the
+	// smallTier is the number of VMs up to which followers wait as afterChange says; the
 	// store's rates grow more slowly than the tier.
-	gatherVMs = 6
-	// gatherMost bounds how much longer followers of a larger tier wait, so that a
+	smallTier = 6
+	// longestWait bounds how much longer followers of a larger tier wait, so that a
 	// replica that drains is left within two seconds.
-	gatherMost = 4
+	longestWait = 4
 )
 
-// gather is how long a follower waits after a change, so that the next answer
+// afterChange is how long a follower waits after a change, so that the next answer
 // brings several at once. Calls to the store are limited and priced.
-var gather = map[string]time.Duration{
+var afterChange = map[string]time.Duration{
 	dandeliongap.KindRoutes:    60 * time.Millisecond,
 	dandeliongap.KindInstances: 250 * time.Millisecond,
 	dandeliongap.KindZonesOut:  60 * time.Millisecond,
@@ -95,7 +95,7 @@
 			f.c.signal()
 		}
 		if len(b.objects) > 0 {
-			f.c.sleep(f.c.gatherFor(f.kind))
+			f.c.sleep(f.c.waitAfterChange(f.kind))
 		}
 	}
 }
@@ -166,10 +166,10 @@
 	return time.Duration((0.75 + rand.Float64()/2) * float64(wait))
 }
 
-// gatherFor returns how long the follower of a kind waits after a change.
-func (c *control) gatherFor(kind string) time.Duration {
-	times := min(max(1, float64(c.present.Load()+1)/gatherVMs), gatherMost)
-	return time.Duration(times * float64(gather[kind]))
+// waitAfterChange returns how long the follower of a kind waits after a change.
+func (c *control) waitAfterChange(kind string) time.Duration {
+	times := min(max(1, float64(c.present.Load()+1)/smallTier), longestWait)
+	return time.Duration(times * float64(afterChange[kind]))
 }
 
 // signal wakes those that wait for the store.
