Pause before a new list when the store has dropped its history

Cause: reading the code: a store that drops its history again and again was asked in a loop for kinds without objects. The new test failed first.

--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -77,6 +77,7 @@
 		if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
 			f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
 			f.since = 0
+			f.c.sleep(retryOnce)
 			continue
 		}
 		select {
