Pause between watches that do not wait

Cause: the same loop by another way: a watch that the store answers at once without a change was repeated at once. The new test failed first.

--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -73,6 +73,7 @@
 
 func (f *follower) run() {
 	for f.c.ctx.Err() == nil {
+		begin := f.c.e.now()
 		b := f.fetch()
 		if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
 			f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
@@ -95,8 +96,11 @@
 		if f.kind == dandeliongap.KindRoutes {
 			f.c.signal()
 		}
-		if len(b.objects) > 0 {
+		switch {
+		case len(b.objects) > 0:
 			f.c.sleep(f.c.waitAfterChange(f.kind))
+		case f.c.e.now().Sub(begin) < retryOnce:
+			f.c.sleep(retryOnce) // the watch did not wait
 		}
 	}
 }
