--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -122,10 +122,7 @@
 }
 
 // free holds the free connections of one instance.
-type free struct {
-	conns []kept
-	gone  bool
-}
+type free struct{ conns []kept }
 
 // Forwarder sends whole requests to backend servers over kept connections. It is
 // safe for concurrent use.
@@ -163,7 +160,6 @@
 		if ids[id] {
 			continue
 		}
-		fr.gone = true
 		for _, k := range fr.conns {
 			_ = k.cn.tcp.Close()
 		}
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -119,7 +119,6 @@
 // Ticket is one request under way at a replica.
 type Ticket struct {
 	Instance dandeliongap.Instance
-	Allowed  int // connections of this VM
 	Start    dandeliongap.Instant
 	Cost     float64 // that decided (R3)
 	Usable   int     // replicas that were compared
@@ -313,7 +312,7 @@
 	if !best.silent {
 		best.silent, best.silentAt = true, now
 	}
-	return Ticket{Instance: best.inst, Allowed: best.allowed, Start: now, Cost: bestCost, Usable: usable, Trial: trial}, 0, nil
+	return Ticket{Instance: best.inst, Start: now, Cost: bestCost, Usable: usable, Trial: trial}, 0, nil
 }
 
 // busyRetry is the wait for a connection or a cold replica's next request.
--- a/dgcatalog/dgcatalog.go
+++ b/dgcatalog/dgcatalog.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// Replace takes in a full list. seen holds every listed name, also of
-// registrations that could not be read.
+// Replace takes in a full list of registrations with the versions of their objects.
 func (c *Catalog) Replace(now dandeliongap.Instant, list []dandeliongap.Instance, versions []dandeliongap.Version) {
 	present := make(map[dandeliongap.InstanceID]bool, len(list))
 	for i, in := range list {
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -129,7 +129,7 @@
 		e.mu.Unlock()
 		e.stats.add("NoBudget")
 		co.noBudget++
-		co.g.Unsent(now, s.Shard, now.Add(budgetRetry))
+		co.g.Unsent(s.Shard, now.Add(budgetRetry))
 		return
 	}
 	ticket, retry, err := e.bal.Pick(now, co.c.route.Name, service, co.used[s.Shard])
@@ -142,7 +142,7 @@
 	}
 	e.mu.Unlock()
 	if err != nil {
-		co.g.Unsent(now, s.Shard, retry)
+		co.g.Unsent(s.Shard, retry)
 		return
 	}
 	a := &attempt{shard: s.Shard, extra: s.Extra, ticket: ticket}
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -238,8 +238,7 @@
 }
 
 // Unsent records that an attempt could not be started and may be tried at retry.
-// A route whose shard has no usable replica does not wait for it.
-func (g *Gather) Unsent(_ dandeliongap.Instant, i int, retry dandeliongap.Instant) {
+func (g *Gather) Unsent(i int, retry dandeliongap.Instant) {
 	g.shards[i].retry = retry
 }
 
--- a/dggather/dggather_test.go
+++ b/dggather/dggather_test.go
@@ -139,7 +139,7 @@
 		for _, s := range sends[:4] {
 			g.Sent(0, s.Shard, false)
 		}
-		g.Unsent(0, 4, ms(250))
+		g.Unsent(4, ms(250))
 		for i := range 4 {
 			Expect(verdict(g, ms(20))).To(Equal(dggather.Open))
 			g.Part(i)
@@ -153,7 +153,7 @@
 			g.Sent(0, s.Shard, false)
 			g.Part(s.Shard)
 		}
-		g.Unsent(0, 4, ms(5))
+		g.Unsent(4, ms(5))
 		Expect(verdict(g, ms(1))).To(Equal(dggather.Open))
 		Expect(sendAll(g, ms(5))).To(HaveLen(1))
 	})
@@ -176,11 +176,11 @@
 			g.Sent(0, s.Shard, false)
 		}
 		for _, s := range sends[2:] {
-			g.Unsent(0, s.Shard, ms(100))
+			g.Unsent(s.Shard, ms(100))
 		}
 		Expect(verdict(g, ms(1))).To(Equal(dggather.Open))
 		for _, s := range sends[2:] {
-			g.Unsent(ms(100), s.Shard, ms(350))
+			g.Unsent(s.Shard, ms(350))
 		}
 		Expect(verdict(g, ms(100))).To(Equal(dggather.Failed))
 	})
@@ -196,7 +196,7 @@
 		sendAll(g, 0)
 		Expect(verdict(g, ms(4990))).To(Equal(dggather.Late))
 		h := single(true)
-		h.Unsent(0, 0, ms(6000))
+		h.Unsent(0, ms(6000))
 		Expect(verdict(h, ms(4990))).To(Equal(dggather.NotRun))
 	})
 })
@@ -222,7 +222,7 @@
 			}
 			for _, s := range sends {
 				if rapid.IntRange(0, 3).Draw(t, "none") == 0 {
-					g.Unsent(now, s.Shard, now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "retry"))*time.Millisecond))
+					g.Unsent(s.Shard, now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "retry"))*time.Millisecond))
 					continue
 				}
 				if ran[s.Shard] && !repeatable {
--- a/dggather/load_test.go
+++ b/dggather/load_test.go
@@ -186,7 +186,7 @@
 func (s *searchRun) send(x dggather.Send) {
 	t, now, name := s.t, s.t.instant(), s.t.names[x.Shard]
 	if x.Extra && !s.vm.budget.Take(now, name) {
-		s.g.Unsent(now, x.Shard, now.Add(20*time.Millisecond))
+		s.g.Unsent(x.Shard, now.Add(20*time.Millisecond))
 		return
 	}
 	ticket, retry, err := s.vm.bal.Pick(now, "search", name, s.used[x.Shard])
@@ -194,7 +194,7 @@
 		if x.Extra {
 			s.vm.budget.Return(now, name)
 		}
-		s.g.Unsent(now, x.Shard, retry)
+		s.g.Unsent(x.Shard, retry)
 		return
 	}
 	var shard, r int
