Deliver a cancellation never before its sub-request

The counters: one sub-request received more than cancelled, no DELETE for it, its slot freed by the end of the owner's rights. Two holes: a cancellation could overtake its sub-request on another of the four calls to a peer (dgpeer N6), and the receiver applied the cancellations of a message before its sub-requests.

--- a/dgnode/peerservice.go
+++ b/dgnode/peerservice.go
@@ -22,11 +22,6 @@
 
 // Submit implements dgwire.Peer.
 func (p *peerService) Submit(_ context.Context, m *dgwire.SubmitRequest) (*dgwire.SubmitReply, error) {
-	for _, c := range m.GetCancels() {
-		if g := p.gates.get(dandeliongap.ReplicaID(c.GetReplica())); g != nil {
-			g.cancel(c.GetId().Value())
-		}
-	}
 	bodies := m.GetBodies()
 	for _, r := range m.GetRequests() {
 		if int(r.GetBody()) >= len(bodies) {
@@ -36,6 +31,12 @@
 	for _, r := range m.GetRequests() {
 		p.offer(m.GetFromAddress(), r, bodies[r.GetBody()])
 	}
+	// A cancellation may be of a sub-request of the same message.
+	for _, c := range m.GetCancels() {
+		if g := p.gates.get(dandeliongap.ReplicaID(c.GetReplica())); g != nil {
+			g.cancel(c.GetId().Value())
+		}
+	}
 	return &dgwire.SubmitReply{}, nil
 }
 
--- a/dgpeer/outbox.go
+++ b/dgpeer/outbox.go
@@ -11,6 +11,9 @@
 //	N4. A failed Deliver drops its answers: the entry VM treats the
 //	    sub-requests as lost at its own deadline or retries them elsewhere.
 //	N5. A queue longer than MaxQueue refuses what is added as not run.
+//	N6. A cancellation goes with its sub-request or after the call that carries
+//	    it has ended. On another call it could arrive first, and the owner would
+//	    run the sub-request for a caller that left.
 package dgpeer
 
 import (
@@ -89,6 +92,7 @@
 			return false
 		}
 		b.submits = append(b.submits, submit{req: req, body: body})
+		b.open[req.GetId().Value()] = queued
 		return true
 	}, func() {
 		s.failed(req.GetId().Value(), dandeliongap.ReplicaID(req.GetReplica()), true)
@@ -149,7 +153,7 @@
 	defer s.mu.Unlock()
 	b := s.boxes[address]
 	if b == nil {
-		b = &outbox{s: s, peer: dgwire.NewPeerProtobufClient("http://"+address, s.client)}
+		b = &outbox{s: s, peer: dgwire.NewPeerProtobufClient("http://"+address, s.client), open: make(map[dandeliongap.SubID]callNumber)}
 		s.boxes[address] = b
 	}
 	return b
@@ -160,6 +164,12 @@
 	body []byte
 }
 
+// callNumber counts the Submit calls to one peer, from 1.
+type callNumber uint64
+
+// queued stands for the call of a sub-request that no call carries yet.
+const queued callNumber = 0
+
 // outbox holds what waits for one peer.
 type outbox struct {
 	s    *Sender
@@ -169,8 +179,10 @@
 	submits    []submit
 	cancels    []*dgwire.SubCancel
 	answers    []*dgwire.SubAnswer
-	submitting int // Submit calls under way
-	delivering int // Deliver calls under way
+	open       map[dandeliongap.SubID]callNumber // sub-requests queued or under way (N6)
+	calls      callNumber                        // Submit calls so far
+	submitting int                               // Submit calls under way
+	delivering int                               // Deliver calls under way
 }
 
 func (b *outbox) idle() bool {
@@ -228,22 +240,54 @@
 			return
 		}
 		b.submit(submits, cancels)
+		b.landed(submits)
 	}
 }
 
+// takeSubmits returns what goes with the next call. Cancellations that must wait
+// (N6) go with the one that the loop of their sub-request makes next.
 func (b *outbox) takeSubmits() ([]submit, []*dgwire.SubCancel) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := min(len(b.submits), MaxBatch)
-	m := min(len(b.cancels), MaxBatch)
-	submits, cancels := b.submits[:n:n], b.cancels[:m:m]
-	b.submits, b.cancels = b.submits[n:], b.cancels[m:]
-	if n+m == 0 {
+	submits := b.submits[:n:n]
+	b.submits = b.submits[n:]
+	b.calls++
+	for _, m := range submits {
+		b.open[m.req.GetId().Value()] = b.calls
+	}
+	cancels := b.takeCancels()
+	if n+len(cancels) == 0 {
 		b.submitting--
 	}
 	return submits, cancels
 }
 
+// takeCancels returns the cancellations that may go with the present call.
+// Callers hold mu.
+func (b *outbox) takeCancels() []*dgwire.SubCancel {
+	var taken, kept []*dgwire.SubCancel
+	for _, c := range b.cancels {
+		call, open := b.open[c.GetId().Value()]
+		if len(taken) < MaxBatch && (!open || call == b.calls) {
+			taken = append(taken, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	b.cancels = kept
+	return taken
+}
+
+// landed records that the call of these sub-requests has ended.
+func (b *outbox) landed(submits []submit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range submits {
+		delete(b.open, m.req.GetId().Value())
+	}
+}
+
 func (b *outbox) submit(submits []submit, cancels []*dgwire.SubCancel) {
 	msg := &dgwire.SubmitRequest{
 		FromMember:  string(b.s.self),
--- a/dgpeer/outbox_test.go
+++ b/dgpeer/outbox_test.go
@@ -314,3 +314,63 @@
 	defer p.mu.Unlock()
 	g.Expect(p.most).To(Equal(2 * dgpeer.MaxCalls))
 }
+
+// Guards against a cancellation that overtakes its sub-request on another call: the
+// owner does not know the sub-request yet, and it runs for a caller that left.
+func TestCancellationFollowsItsSubRequest(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t)
+	s, _ := newSender(t)
+	s.Submit(p.address(), request(1), nil)
+	g.Eventually(p.under, patience).Should(Equal(1))
+	s.Cancel(p.address(), dandeliongap.SubID{Entry: 1, Query: 1}, "a/1")
+	s.Submit(p.address(), request(2), nil)
+	g.Eventually(p.got, patience).Should(Equal(2))
+	cancels := func() (n int) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, m := range p.submits {
+			n += len(m.GetCancels())
+		}
+		return n
+	}
+	g.Expect(cancels()).To(BeZero(), "the call with the sub-request is under way")
+	close(p.open)
+	g.Eventually(cancels, patience).Should(Equal(1))
+}
+
+// Guards against the same while a sub-request waits in the queue behind a full
+// batch.
+func TestCancellationFollowsAQueuedSubRequest(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t)
+	s, _ := newSender(t)
+	for i := range dgpeer.MaxCalls {
+		s.Submit(p.address(), request(i), nil)
+		g.Eventually(p.under, patience).Should(Equal(i + 1))
+	}
+	const last = dgpeer.MaxCalls + 2*dgpeer.MaxCalls*dgpeer.MaxBatch
+	for i := dgpeer.MaxCalls; i <= last; i++ {
+		s.Submit(p.address(), request(i), nil)
+	}
+	s.Cancel(p.address(), dandeliongap.SubID{Entry: 1, Query: last}, "a/1")
+	close(p.open)
+	g.Eventually(p.got, patience).Should(Equal(last + 1))
+	carried := func() (with, before bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		seen := false
+		for _, m := range p.submits {
+			for _, r := range m.GetRequests() {
+				seen = seen || r.GetId().GetQuery() == last
+			}
+			if len(m.GetCancels()) > 0 {
+				return true, !seen
+			}
+		}
+		return false, false
+	}
+	g.Eventually(func() bool { with, _ := carried(); return with }, patience).Should(BeTrue())
+	_, before := carried()
+	g.Expect(before).To(BeFalse(), "the cancellation arrived before its sub-request")
+}
