--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -169,10 +169,10 @@
 
 // Close closes all free connections. Attempts under way close theirs.
 func (f *Forwarder) Close() error {
-	f.Retain(nil)
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.closed = true
+	f.closed = true // from here on no connection becomes free
+	f.mu.Unlock()
+	f.Retain(nil)
 	return nil
 }
 
