Send an action that a stopping VM refused to another VM

A stopping VM refuses once the time for which callers may keep its address is over; a caller that stands still between taking the address and sending meets the refusal, however long the VM waits. Search went on to another VM then, Act did not, although the refusal says that nothing ran.

--- a/dgclient/client_test.go
+++ b/dgclient/client_test.go
@@ -202,6 +202,27 @@
 		Expect(b.requests()).To(HaveLen(4))
 	})
 
+	// Guards against actions that a VM refuses since its caller was slow to use an
+	// address: no time that a stopping VM waits excludes that.
+	It("moves an action away from a VM that stops", func() {
+		a.answer(503, `{"Outcome":"not run","Reason":"stopping"}`)
+		for i := range 4 {
+			r, err := act(dandeliongap.IdempotencyKey(fmt.Sprint(i)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Address).To(Equal(b.addr))
+		}
+		Expect(b.requests()).To(HaveLen(4))
+	})
+
+	It("reports an action as not run when every VM stops", func() {
+		a.answer(503, `{"Outcome":"not run","Reason":"stopping"}`)
+		b.answer(503, `{"Outcome":"not run","Reason":"stopping"}`)
+		r, err := act("k")
+		Expect(err).To(MatchError(dandeliongap.ErrNotRun))
+		Expect(r.Outcome).To(Equal(dandeliongap.OutcomeNotRun))
+		Expect(total()).To(BeNumerically(">=", 2))
+	})
+
 	It("does not call a search not run when an earlier address may have run it", func() {
 		a.lose()
 		b.answer(503, refused)
--- a/dgclient/query.go
+++ b/dgclient/query.go
@@ -101,26 +101,19 @@
 			MinCoverage float64
 		}{r.Service, r.Query, r.Class, remaining(r.Deadline, q.end), r.MinCoverage})
 	}
-	avoid := ""
-	for attempt := 1; ; attempt++ {
-		a, got, outcome, err := c.run(ctx, q, avoid)
-		if outcome == dandeliongap.OutcomeNotRun && elsewhere[a.Reason] && attempt < maxAddresses && time.Now().Before(q.end) {
-			c.book.fail(got.addr)
-			avoid = got.addr
-			continue
-		}
-		return SearchResult{
-			ID: a.ID, Outcome: outcome, IndexVersion: a.IndexVersion, Merged: a.Merged, Total: a.Total,
-			Coverage: a.Coverage, Hits: a.Hits, Reason: a.Reason,
-			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond, Address: got.addr,
-		}, err
-	}
+	a, got, outcome, err := c.runElsewhere(ctx, q, "")
+	return SearchResult{
+		ID: a.ID, Outcome: outcome, IndexVersion: a.IndexVersion, Merged: a.Merged, Total: a.Total,
+		Coverage: a.Coverage, Hits: a.Hits, Reason: a.Reason,
+		RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond, Address: got.addr,
+	}, err
 }
 
 // Act makes one attempt of an action: it goes to another address only if no byte
-// was written. A repeat with the same key is the caller's decision and goes to
-// another address. Errors are those of Search, and ErrConflict with the outcome
-// "not run" if the key was used with another body.
+// was written, or a VM that stops or is cut off refused it as not run. A repeat
+// with the same key is the caller's decision and goes to another address. Errors
+// are those of Search, and ErrConflict with the outcome "not run" if the key was
+// used with another body.
 func (c *Client) Act(ctx context.Context, r ActionRequest) (ActionResult, error) {
 	q := call{method: fasthttp.MethodPost, path: "/v1/actions", end: c.endOf(r.Deadline)}
 	q.body = func() ([]byte, error) {
@@ -131,7 +124,7 @@
 			DeadlineMs int64
 		}{r.Service, r.Key, r.Body, remaining(r.Deadline, q.end)})
 	}
-	a, got, outcome, err := c.run(ctx, q, c.book.lastOf(r.Key))
+	a, got, outcome, err := c.runElsewhere(ctx, q, c.book.lastOf(r.Key))
 	if got.sent {
 		c.book.attempted(r.Key, got.addr)
 	}
@@ -158,6 +151,19 @@
 	return max(1, time.Until(end.Add(-answerMargin)).Milliseconds())
 }
 
+// runElsewhere runs a request, and runs it again at another address within the
+// deadline if a VM refused it for a reason that concerns only that VM.
+func (c *Client) runElsewhere(ctx context.Context, q call, avoid string) (answer, reply, dandeliongap.Outcome, error) {
+	for attempt := 1; ; attempt++ {
+		a, got, outcome, err := c.run(ctx, q, avoid)
+		if outcome != dandeliongap.OutcomeNotRun || !elsewhere[a.Reason] || attempt >= maxAddresses || !time.Now().Before(q.end) {
+			return a, got, outcome, err
+		}
+		c.book.fail(got.addr)
+		avoid = got.addr
+	}
+}
+
 // run sends a search or action and reads its answer.
 func (c *Client) run(ctx context.Context, q call, avoid string) (answer, reply, dandeliongap.Outcome, error) {
 	r := c.send(ctx, q, avoid)
--- a/dgdemo/hangup_test.go
+++ b/dgdemo/hangup_test.go
@@ -10,6 +10,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgdemo"
+	"dandeliongap.example/dandeliongap/dgnode"
 	"dandeliongap.example/dandeliongap/dgstandin"
 	"dandeliongap.example/dandeliongap/dgwire"
 	. "github.com/onsi/gomega"
@@ -74,15 +75,8 @@
 	to := &answers{got: make(chan *dgwire.SubAnswer, 16)}
 	server := httptest.NewServer(dgwire.NewPeerServer(to))
 	defer server.Close()
-	node := f.Nodes()[0]
+	node, owned := f.ownerOfSearch()
 	peer := dgwire.NewPeerProtobufClient(strings.TrimSuffix(peerURL(node), dgwire.PeerPathPrefix), http.DefaultClient)
-	owned := ""
-	for id, p := range node.View().Placement {
-		if p.Owner == node.Member() && strings.HasPrefix(string(id), string(search)) {
-			owned = string(id)
-		}
-	}
-	f.Expect(owned).NotTo(BeEmpty())
 	id := dgwire.FromSubID(dandeliongap.SubID{Entry: 77, Query: 1})
 	_, err := peer.Submit(f.ctx, &dgwire.SubmitRequest{
 		FromAddress: strings.TrimPrefix(server.URL, "http://"),
@@ -95,3 +89,23 @@
 	f.Eventually(to.got, patience).Should(Receive(&a))
 	f.Expect(dandeliongap.Reason(a.GetReason())).To(Equal(dandeliongap.ReasonCancelled))
 }
+
+// ownerOfSearch returns a VM that owns a replica of the search, and that replica.
+// The replicas that a single VM owns depend on what earlier tests did to the
+// shared VMs.
+func (f *fixture) ownerOfSearch() (*dgnode.Node, string) {
+	var owner *dgnode.Node
+	owned := ""
+	f.until("a VM owns a replica of the search", func() bool {
+		for _, n := range f.Nodes() {
+			for id, p := range n.View().Placement {
+				if p.Owner == n.Member() && strings.HasPrefix(string(id), string(search)) {
+					owner, owned = n, string(id)
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return owner, owned
+}
