--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -94,6 +94,17 @@
 	Abandoned
 )
 
+// Change is a change of what is believed of a replica.
+type Change uint8
+
+// Changes.
+const (
+	Unchanged Change = iota
+	WentDown         // it cannot be reached (R5)
+	CameBack         // it answers again after it was down
+	MovedAway        // another instance has its address (R8)
+)
+
 type replica struct {
 	inst    dandeliongap.Instance
 	coldEnd dandeliongap.Instant
@@ -120,9 +131,10 @@
 type Ticket struct {
 	Instance dandeliongap.Instance
 	Start    dandeliongap.Instant
-	Cost     float64 // that decided (R3)
-	Usable   int     // replicas that were compared
-	Trial    bool    // the replica was down or silent: an answer is unlikely
+	Cost     float64       // that decided (R3)
+	Age      time.Duration // of what was learned of the replica
+	Usable   int           // replicas that were compared
+	Trial    bool          // the replica was down or silent: an answer is unlikely
 }
 
 // Balancer is not safe for concurrent use.
@@ -312,7 +324,7 @@
 	if !best.silent {
 		best.silent, best.silentAt = true, now
 	}
-	return Ticket{Instance: best.inst, Start: now, Cost: bestCost, Usable: usable, Trial: trial}, 0, nil
+	return Ticket{Instance: best.inst, Start: now, Cost: bestCost, Age: now.Sub(best.learnedAt), Usable: usable, Trial: trial}, 0, nil
 }
 
 // busyRetry is the wait for a connection or a cold replica's next request.
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -196,6 +196,20 @@
 		r.update(ms(1000), again)
 		Expect(r.play(ms(1001), steady, dgbalance.Answered)).To(Equal("a"))
 	})
+	It("tells what a request changed about its replica, once (guards against a replica that goes down or comes back without a line in the log)", func() {
+		r := newRig()
+		r.update(0, inst("a"))
+		try := func(now dandeliongap.Instant, result dgbalance.Result) dgbalance.Change {
+			tk, _, err := r.b.Pick(now, route, svc, nil)
+			Expect(err).NotTo(HaveOccurred())
+			return r.b.Done(now, route, &tk, result)
+		}
+		Expect(try(ms(1), dgbalance.Answered)).To(Equal(dgbalance.Unchanged))
+		Expect(try(ms(2), dgbalance.Unreached)).To(Equal(dgbalance.WentDown))
+		Expect(try(ms(1000), dgbalance.Unreached)).To(Equal(dgbalance.Unchanged))
+		Expect(try(ms(3000), dgbalance.Answered)).To(Equal(dgbalance.CameBack))
+		Expect(try(ms(3001), dgbalance.Moved)).To(Equal(dgbalance.MovedAway))
+	})
 	It("keeps what it learned when the replica stays and forgets it when the replica starts again (guards against routing by the past of another process)", func() {
 		r := newRig()
 		r.update(0, inst("a"))
--- a/dgbalance/learn.go
+++ b/dgbalance/learn.go
@@ -26,16 +26,18 @@
 	return slow * float64(1+len(r.started)) / (1 - min(fail, maxFail))
 }
 
-// Done ends a request that Pick counted.
-func (b *Balancer) Done(now dandeliongap.Instant, route dandeliongap.RouteName, t *Ticket, result Result) {
+// Done ends a request that Pick counted. It tells what this changes about the
+// replica.
+func (b *Balancer) Done(now dandeliongap.Instant, route dandeliongap.RouteName, t *Ticket, result Result) Change {
 	r := b.byID[t.Instance.ID]
 	if r == nil {
-		return
+		return Unchanged
 	}
 	if i := slices.Index(r.started, t.Start); i >= 0 {
 		r.started = slices.Delete(r.started, i, i+1)
 	}
 	took := now.Sub(t.Start)
+	wasDown := r.downFor > 0
 	r.hear(now, result, took)
 	switch result {
 	case Answered:
@@ -45,6 +47,7 @@
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
 	case Moved:
 		r.movedUntil = now.Add(MovedFor)
+		return MovedAway
 	case Erred:
 		b.learn(now, route, r, max(took, b.Typical(route, 0)), 1)
 		r.downFor = 0
@@ -56,6 +59,13 @@
 			b.learn(now, route, r, took, 0)
 		}
 	}
+	switch isDown := r.downFor > 0; {
+	case isDown && !wasDown:
+		return WentDown
+	case wasDown && !isDown:
+		return CameBack
+	}
+	return Unchanged
 }
 
 // hear ends the silence of a replica that answered something. A request that was
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -166,11 +166,12 @@
 	}
 	now := e.now()
 	e.mu.Lock()
-	e.bal.Done(now, co.c.route.Name, &a.ticket, co.tells(&reply, now))
+	change := e.bal.Done(now, co.c.route.Name, &a.ticket, co.tells(&reply, now))
 	if reply.Kind == dgbackend.ReplyUnreached && a.extra {
 		e.budget.Return(a.ticket.Start, co.c.shards[a.shard])
 	}
 	e.mu.Unlock()
+	e.noteReplica(change, a, &reply)
 	select {
 	case co.results <- result{a, reply}:
 	case <-co.over:
@@ -180,6 +181,23 @@
 	}
 }
 
+// noteReplica logs what an attempt changed about its replica.
+func (e *Edge) noteReplica(change dgbalance.Change, a *attempt, reply *dgbackend.Reply) {
+	var msg, rule string
+	switch change {
+	case dgbalance.WentDown:
+		msg, rule = "replica down", "R5"
+	case dgbalance.CameBack:
+		msg, rule = "replica back", "R5"
+	case dgbalance.MovedAway:
+		msg, rule = "replica moved", "R8"
+	default:
+		return
+	}
+	e.log.event(msg).Str("Rule", rule).Str("Service", string(a.ticket.Instance.Service)).Str("Replica", string(a.ticket.Instance.ID)).
+		Str("Address", a.ticket.Instance.Address).AnErr("Why", reply.Err).Send()
+}
+
 // tells maps a reply to what it tells about the replica.
 func (co *course) tells(r *dgbackend.Reply, now dandeliongap.Instant) dgbalance.Result {
 	switch r.Kind {
@@ -298,6 +316,21 @@
 	return out
 }
 
+// sent names the replicas that got sub-requests, in order, with the cost that
+// decided and the age of what was known of the replica, in milliseconds.
+func (co *course) sent() []string {
+	out := make([]string, len(co.attempts))
+	for i, a := range co.attempts {
+		b := append(make([]byte, 0, 40), a.ticket.Instance.ID...)
+		b = append(b, ' ')
+		b = strconv.AppendFloat(b, a.ticket.Cost, 'f', 1, 64)
+		b = append(b, ' ')
+		b = strconv.AppendInt(b, a.ticket.Age.Milliseconds(), 10)
+		out[i] = string(b)
+	}
+	return out
+}
+
 // abandon cancels the attempts under way: their results serve nobody.
 func (co *course) abandon() {
 	for _, a := range co.attempts {
@@ -364,7 +397,11 @@
 	if status == fasthttp.StatusOK {
 		co.e.stats.observe(string(co.c.route.Name), took)
 	}
-	co.e.log.request("done", co.c.id).Strs("Missing", co.missing()).Int("NoBudget", co.noBudget).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
+	line := co.e.log.request("done", co.c.id)
+	if line == nil {
+		return
+	}
+	line.Strs("Sent", co.sent()).Strs("Missing", co.missing()).Int("NoBudget", co.noBudget).Str("Route", string(co.c.route.Name)).Uint64("Config", uint64(co.c.version)).
 		Str("Verdict", verdict).Int("Status", status).Int("Merged", in).Int("Total", total).
 		Int("Attempts", len(co.attempts)).Int("Extra", co.extras).Str("Why", co.why).
 		Dur("Left", co.c.deadline.Sub(co.c.arrived)-took).Dur("Took", took).Send()
