Let six VMs read the store and the others take changes from VMs

The first six present VMs by rank read; beats say what is in force where, and whose calls fail; the others ask a VM for what changed since their own state. One package decides (dgwatch, property test of the mirror, roles), the daemon carries it out. Also mended, found by reading: a watch that was cut short by a hint counted as an answer of the store; a list or look raised the version that a VM advertises, so that all others looked too.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -12,6 +12,7 @@
 	"dandeliongap.example/dandeliongap/dgcatalog"
 	"dandeliongap.example/dandeliongap/dgpresence"
 	"dandeliongap.example/dandeliongap/dgroute"
+	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/sourcegraph/conc"
 )
 
@@ -27,7 +28,7 @@
 type batch struct {
 	kind    string
 	full    bool // the whole collection
-	looked  bool // asked for after a hint: all changes up to version are in
+	told    bool // not by the store: by another VM, or cut short
 	objects []dandeliongap.Object
 	version dandeliongap.Version
 	err     error
@@ -61,10 +62,16 @@
 
 	followers map[string]*follower
 	seen      map[string]dandeliongap.Version // newest change of a kind that is in force here
+	complete  map[string]dandeliongap.Version // all changes of a kind up to here are in force
 	others    map[string]dandeliongap.Version // the same at other VMs
 	behind    map[string]dandeliongap.Instant // since when others have more
 	present   atomic.Int64                    // other VMs that are alive
-	careful   atomic.Int64                    // instant until which watches wait shortly
+	roleNow   atomic.Int32                    // a dgwatch.Role
+	lastHeard atomic.Pointer[string]          // address that the last beats came from
+	// readersAway: this VM does not read the store, and those that do say that their
+	// calls fail.
+	readersAway bool
+	careful     atomic.Int64 // instant until which watches wait shortly
 
 	backMu sync.Mutex
 	back   chan struct{} // closed when the store has answered
@@ -91,6 +98,7 @@
 
 		followers: make(map[string]*follower),
 		seen:      make(map[string]dandeliongap.Version),
+		complete:  make(map[string]dandeliongap.Version),
 		others:    make(map[string]dandeliongap.Version),
 		behind:    make(map[string]dandeliongap.Instant),
 		back:      make(chan struct{}),
@@ -152,7 +160,10 @@
 		c.storeLost(b)
 		return
 	}
-	c.storeRegained(now, b.kind)
+	if !b.told {
+		c.storeRegained(now, b.kind)
+	}
+	c.e.mirror.Take(b.kind, dgwatch.State{Full: b.full, Version: b.version, Objects: b.objects})
 	switch b.kind {
 	case dandeliongap.KindRoutes:
 		for _, o := range b.objects {
@@ -173,41 +184,45 @@
 	}
 }
 
-// note records which changes are in force here, for the other VMs (F2).
+// note records up to where the changes are in, and the newest one for the other VMs
+// (F2). The store's own version is not for them: it rises with every kind.
 func (c *control) note(b batch) {
-	newest := c.seen[b.kind]
-	if b.full || b.looked {
-		newest = max(newest, b.version)
-	}
+	c.complete[b.kind] = max(c.complete[b.kind], b.version)
 	for _, o := range b.objects {
-		newest = max(newest, o.Version)
+		c.seen[b.kind] = max(c.seen[b.kind], o.Version)
 	}
-	c.seen[b.kind] = newest
 }
 
 // hearBeats takes in the beats of a datagram.
 func (c *control) hearBeats(beats []dgpresence.Beat) {
-	c.presence.Hear(c.e.now(), beats)
+	now := c.e.now()
+	c.presence.Hear(now, beats)
 	for _, b := range beats {
 		for kind, v := range b.Seen {
 			c.others[kind] = max(c.others[kind], v)
 		}
 	}
+	c.catchUp(now)
 }
 
-// catchUp makes a follower look when other VMs have been ahead for longer than a
-// change takes to arrive here (F2).
+// catchUp makes a follower look when other VMs are ahead: at once if it does not
+// read the store, else when they have been for longer than a change takes to arrive
+// here (F2).
 func (c *control) catchUp(now dandeliongap.Instant) {
 	for kind, f := range c.followers {
 		switch {
-		case c.others[kind] <= c.seen[kind] || !c.known[kind]:
+		case c.others[kind] <= c.complete[kind] || !c.known[kind]:
 			delete(c.behind, kind)
 		case c.behind[kind] == 0:
 			c.behind[kind] = now
+			if c.role() == dgwatch.Reads && len(c.lostKind) == 0 {
+				continue
+			}
+			f.tellFrom(c.sources(now, kind))
 		case now.Sub(c.behind[kind]) > behindMost:
 			c.behind[kind] = now
-			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Seen", uint64(c.seen[kind])).Uint64("Others", uint64(c.others[kind])).Send()
-			f.push()
+			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Complete", uint64(c.complete[kind])).Uint64("Others", uint64(c.others[kind])).Send()
+			f.tellFrom(c.sources(now, kind))
 		}
 	}
 }
@@ -263,7 +278,7 @@
 	for _, kind := range kinds {
 		v.ready = v.ready && c.known[kind]
 	}
-	v.stale = c.lostKind[dandeliongap.KindRoutes] || now.Sub(c.heard) > storeStaleAfter
+	v.stale = c.lostKind[dandeliongap.KindRoutes] || c.readersAway || now.Sub(c.heard) > storeStaleAfter
 	if v.ready && !e.leaving.Load() {
 		v.names = append(v.names, e.opt.Settings.Entry)
 	}
@@ -288,6 +303,7 @@
 // tick sends the own beat and looks at what only time changes.
 func (c *control) tick() {
 	now := c.e.now()
+	c.updateRole(now)
 	c.beat()
 	c.catchUp(now)
 	if c.recheck > 0 && now >= c.recheck || !slices.Equal(c.shared, c.sharing(now)) {
--- a/dgedge/doc.go
+++ b/dgedge/doc.go
@@ -1,9 +1,9 @@
 // Package dgedge is the daemon of a tier whose VMs forward requests along routes
 // themselves: each VM sends to the backend servers directly. It drives the
 // decision packages (dgroute, dggather, dgbalance, dgbudget, dgcatalog,
-// dgpresence, dgadmit) and carries their decisions out.
+// dgpresence, dgwatch, dgadmit) and carries their decisions out.
 //
-// One goroutine owns the control state; it reads the store and the beats of other
-// VMs and publishes an immutable view. The goroutines of requests read that view
+// One goroutine owns the control state; it takes in what the store and other VMs
+// tell and publishes an immutable view. The goroutines of requests read that view
 // and share the replica statistics and the budget under one mutex.
 package dgedge
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -13,6 +13,7 @@
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dgbudget"
 	"dandeliongap.example/dandeliongap/dgroute"
+	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -54,6 +55,7 @@
 
 	tuning  atomic.Pointer[Settings] // the settings that may change while it runs
 	view    atomic.Pointer[view]
+	mirror  dgwatch.Mirror // of the control state, for other VMs
 	control *control
 	leaving atomic.Bool
 	closing atomic.Bool // no new requests
@@ -127,6 +129,8 @@
 		e.opt.Settings.Ready: e.handleReady,
 		e.opt.Settings.Names: e.handleNames,
 		e.opt.Settings.Vars:  e.handleVars,
+
+		e.opt.Settings.Gossip: e.handleTell,
 	} {
 		if addr == "" {
 			continue
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -4,17 +4,19 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgwatch"
 )
 
 const (
 	// waitFew is the wait of a watch on a VM that hears no other one, or whose store
 	// failed a short time ago: a change that a watch missed is seen that late.
 	waitFew = 3 * time.Second
-	// waitEach is added for each VM that is present: the watches of all VMs end at
-	// about this distance, and one that brings news makes the others look (F2).
+	// waitEach is added for each other VM that reads: the watches of all end at about
+	// this distance, and one that brings news makes the others look (F2).
 	waitEach = 1500 * time.Millisecond
 	// waitMost is below the 30 s that stores allow.
 	waitMost = 20 * time.Second
@@ -32,19 +34,16 @@
 	probeEvery = 250 * time.Millisecond
 	// probeOthers is the longest wait of the other followers for it.
 	probeOthers = 1500 * time.Millisecond
+	// probeRarely is the time between two calls of a VM whose calls fail while others
+	// read the store: in a large tier all such VMs together call as often as the
+	// readers.
+	probeRarely = 4 * time.Second
+	// roleEvery is the time between two looks at the own role.
+	roleEvery = 500 * time.Millisecond
 	// registerEvery is the time between two looks at the own registration.
 	registerEvery = 200 * time.Millisecond
 )
 
-const (
-	// smallTier is the number of VMs up to which followers wait as afterChange says; the
-	// store's rates grow more slowly than the tier.
-	smallTier = 6
-	// longestWait bounds how much longer followers of a larger tier wait, so that a
-	// replica that drains is left within two seconds.
-	longestWait = 4
-)
-
 // afterChange is how long a follower waits after a change, so that the next answer
 // brings several at once. Calls to the store are limited and priced.
 var afterChange = map[string]time.Duration{
@@ -54,7 +53,8 @@
 	dandeliongap.KindMembers:   200 * time.Millisecond,
 }
 
-// follower keeps up with one kind of objects: a list, then changes.
+// follower keeps up with one kind of objects: a list, then changes. Who reads the
+// store is decided by dgwatch.
 //
 // Rules:
 //
@@ -62,58 +62,110 @@
 //	F2  A VM that learns from another one that the store has something newer ends
 //	    its watch and looks at once. Watches may therefore wait for long.
 //	F3  While the store fails, one follower of a VM looks whether it is back, and the
-//	    others wait for that one.
+//	    others wait for that one. All take changes from other VMs meanwhile.
 type follower struct {
 	c     *control
 	kind  string
 	since dandeliongap.Version
 	hint  chan struct{} // F2
 	fails int
+	from  atomic.Pointer[[]string] // addresses of VMs that have newer changes
 }
 
 func (f *follower) run() {
 	for f.c.ctx.Err() == nil {
-		begin := f.c.e.now()
-		b := f.fetch()
-		if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
-			f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
-			f.since = 0
-			f.c.sleep(retryOnce)
+		if f.since > 0 && f.c.role() == dgwatch.Follows {
+			f.rest(roleEvery, true)
 			continue
 		}
-		select {
-		case f.c.batches <- b:
-		case <-f.c.ctx.Done():
-			return
-		}
-		if b.err != nil {
-			f.fails++
+		begin := f.c.e.now()
+		b := f.fetch()
+		if !f.deliver(b) {
 			f.pause()
 			continue
 		}
-		f.fails = 0
-		f.since = b.version
-		if f.kind == dandeliongap.KindRoutes {
+		if f.kind == dandeliongap.KindRoutes && !b.told {
 			f.c.signal()
 		}
 		switch {
 		case len(b.objects) > 0:
-			f.c.sleep(f.c.waitAfterChange(f.kind))
+			f.c.sleep(afterChange[f.kind])
 		case f.c.e.now().Sub(begin) < retryOnce:
 			f.c.sleep(retryOnce) // the watch did not wait
 		}
 	}
 }
 
-// pause waits after a failure (F3).
+// deliver gives a batch to the control goroutine; false if it brought no answer.
+func (f *follower) deliver(b batch) bool {
+	if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
+		f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
+		f.since = 0
+		f.fails = 0
+		return false
+	}
+	select {
+	case f.c.batches <- b:
+	case <-f.c.ctx.Done():
+		return false
+	}
+	if b.err != nil {
+		f.fails++
+		return false
+	}
+	if !b.told {
+		f.fails = 0
+	}
+	f.since = max(f.since, b.version)
+	return true
+}
+
+// pause waits after a failure (F3). A VM that starts asks another one (W5).
 func (f *follower) pause() {
+	if f.since == 0 && f.fails > 0 {
+		if b, err := f.ask(f.c.heardFrom()); err == nil && f.deliver(b) {
+			return
+		}
+	}
 	switch {
-	case f.fails == 1:
+	case f.fails <= 1:
 		f.c.sleep(retryOnce)
+	case f.c.role() == dgwatch.Retries:
+		f.rest(time.Duration((0.75+rand.Float64()/2)*float64(probeRarely)), false)
 	case f.kind == dandeliongap.KindRoutes:
-		f.c.sleep(probeEvery)
+		f.rest(probeEvery, false)
 	default:
-		f.c.awaitSignal(probeOthers)
+		f.rest(probeOthers, false)
+	}
+}
+
+// rest takes changes from other VMs for a while, or until the store is back. look
+// allows to look at the store when no VM can tell them (W3).
+func (f *follower) rest(most time.Duration, look bool) {
+	back := f.c.storeBack()
+	t := time.NewTimer(most)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.hint:
+			b, err := f.ask(f.source())
+			if err != nil && look {
+				f.push()
+				b = f.fetch()
+			} else if err != nil {
+				continue
+			}
+			f.deliver(b)
+		case <-back:
+			if !look {
+				return
+			}
+			back = nil
+		case <-t.C:
+			return
+		case <-f.c.ctx.Done():
+			return
+		}
 	}
 }
 
@@ -123,7 +175,12 @@
 	wait := f.c.watchWait()
 	select {
 	case <-f.hint:
-		b.looked, wait = true, time.Millisecond
+		if f.fails > 0 {
+			if told, err := f.ask(f.source()); err == nil {
+				return told
+			}
+		}
+		wait = time.Millisecond
 	default:
 	}
 	limit := callTimeout
@@ -148,7 +205,7 @@
 	}()
 	b.objects, b.version, b.err = f.c.e.opt.Store.Watch(ctx, f.kind, f.since, wait)
 	if b.err != nil && len(f.hint) > 0 {
-		b.err, b.version = nil, f.since
+		b.err, b.version, b.told = nil, f.since, true // cut short; the store did not fail
 	}
 	return b
 }
@@ -162,21 +219,15 @@
 }
 
 // watchWait returns how long a watch may wait now, at random by a quarter so that
-// the watches of the VMs spread.
+// the watches of the VMs that read spread.
 func (c *control) watchWait() time.Duration {
 	wait := waitFew
 	if n := c.present.Load(); n > 0 && c.careful.Load() < int64(c.e.now()) {
-		wait = min(waitMost, waitFew+time.Duration(n)*waitEach)
+		wait = min(waitMost, waitFew+time.Duration(min(n, dgwatch.Readers-1))*waitEach)
 	}
 	return time.Duration((0.75 + rand.Float64()/2) * float64(wait))
 }
 
-// waitAfterChange returns how long the follower of a kind waits after a change.
-func (c *control) waitAfterChange(kind string) time.Duration {
-	times := min(max(1, float64(c.present.Load()+1)/smallTier), longestWait)
-	return time.Duration(times * float64(afterChange[kind]))
-}
-
 // signal wakes those that wait for the store.
 func (c *control) signal() {
 	c.backMu.Lock()
@@ -185,14 +236,18 @@
 	c.back = make(chan struct{})
 }
 
-func (c *control) awaitSignal(most time.Duration) {
+// storeBack returns a channel that is closed when the store has answered.
+func (c *control) storeBack() chan struct{} {
 	c.backMu.Lock()
-	back := c.back
-	c.backMu.Unlock()
+	defer c.backMu.Unlock()
+	return c.back
+}
+
+func (c *control) awaitSignal(most time.Duration) {
 	t := time.NewTimer(most)
 	defer t.Stop()
 	select {
-	case <-back:
+	case <-c.storeBack():
 	case <-t.C:
 	case <-c.ctx.Done():
 	}
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgpresence"
@@ -87,7 +88,7 @@
 	buf := make([]byte, gossipMost)
 	var u unpacker
 	for {
-		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
+		n, from, err := c.udp.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -100,6 +101,8 @@
 			c.e.stats.add("GossipUnreadable")
 			continue
 		}
+		sender := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+		c.lastHeard.Store(&sender)
 		select {
 		case c.beats <- msg.Beats:
 		default:
@@ -111,7 +114,7 @@
 // beat sends the own beat and those known to some other VMs.
 func (c *control) beat() {
 	now := c.e.now()
-	beats := c.presence.Tick(now, c.e.serving(), c.seen)
+	beats := c.presence.Tick(now, dgpresence.Report{Serving: c.e.serving(), Away: len(c.lostKind) > 0, Seen: c.seen})
 	if c.udp == nil {
 		return
 	}
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -29,6 +29,7 @@
 	Boot    int64 // Unix nanoseconds of the start of the process
 	Count   uint64
 	Serving bool // accepts new callers
+	Away    bool `json:",omitempty"` // its calls to the store fail
 	// Seen has the newest change of each kind of control state that is in force.
 	Seen map[string]dandeliongap.Version `json:",omitempty"`
 }
@@ -50,9 +51,16 @@
 	return &View{self: Beat{VM: vm, Boot: boot}, peers: make(map[dandeliongap.VMName]*seen)}
 }
 
+// Report is what a VM says of itself with a beat.
+type Report struct {
+	Serving bool
+	Away    bool
+	Seen    map[string]dandeliongap.Version
+}
+
 // Tick counts the own beat up and returns what to send: the own beat first, then
 // those of the VMs that are present.
-func (v *View) Tick(now dandeliongap.Instant, serving bool, newest map[string]dandeliongap.Version) []Beat {
+func (v *View) Tick(now dandeliongap.Instant, own Report) []Beat {
 	if pause := now.Sub(v.last) - BeatEvery; v.last > 0 && pause > BeatEvery {
 		for _, p := range v.peers {
 			p.heard = p.heard.Add(pause)
@@ -60,9 +68,14 @@
 	}
 	v.last = now
 	v.self.Count++
-	v.self.Serving = serving
-	v.self.Seen = maps.Clone(newest)
-	out := []Beat{v.self}
+	v.self.Serving, v.self.Away = own.Serving, own.Away
+	v.self.Seen = maps.Clone(own.Seen)
+	return append([]Beat{v.self}, v.Others(now)...)
+}
+
+// Others returns the last beats of the other VMs that are present.
+func (v *View) Others(now dandeliongap.Instant) []Beat {
+	var out []Beat
 	for _, p := range v.peers {
 		if now.Sub(p.heard) <= LostAfter {
 			out = append(out, p.beat)
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -41,8 +41,8 @@
 	})
 	It("V1 passes on only what is present (guards against beats of lost VMs that circle)", func() {
 		v.Hear(at(0), beat(1, 1))
-		Expect(v.Tick(at(100*time.Millisecond), true, nil)).To(HaveLen(2))
-		Expect(v.Tick(at(2*time.Second), true, nil)[0].Count).To(BeEquivalentTo(2))
+		Expect(v.Tick(at(100*time.Millisecond), dgpresence.Report{Serving: true})).To(HaveLen(2))
+		Expect(v.Tick(at(2*time.Second), dgpresence.Report{Serving: true})[0].Count).To(BeEquivalentTo(2))
 	})
 	It("V2 ignores an earlier process of the same VM (guards against its late beats)", func() {
 		v.Hear(at(0), beat(5, 1))
@@ -52,14 +52,14 @@
 		Expect(alive(2 * time.Second)).To(BeTrue())
 	})
 	It("V3 does not lose all others after its own pause (guards against a directory with one name after a freeze)", func() {
-		v.Tick(at(dgpresence.BeatEvery), true, nil)
+		v.Tick(at(dgpresence.BeatEvery), dgpresence.Report{Serving: true})
 		v.Hear(at(dgpresence.BeatEvery), beat(1, 1))
-		v.Tick(at(6*time.Second), true, nil)
+		v.Tick(at(6*time.Second), dgpresence.Report{Serving: true})
 		Expect(alive(6 * time.Second)).To(BeTrue())
 		Expect(alive(8 * time.Second)).To(BeFalse())
 	})
 	It("takes no beat of itself from others", func() {
 		v.Hear(at(0), []dgpresence.Beat{{VM: "a", Boot: 9, Count: 9}, {}})
-		Expect(v.Tick(at(0), true, nil)).To(HaveLen(1))
+		Expect(v.Tick(at(0), dgpresence.Report{Serving: true})).To(HaveLen(1))
 	})
 })
--- /dev/null
+++ b/dgwatch/dgwatch_test.go
@@ -0,0 +1,184 @@
+package dgwatch_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgwatch"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+}
+
+func TestWatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dgwatch")
+}
+
+func tier(n int) []dgwatch.Peer {
+	var out []dgwatch.Peer
+	for i := range n {
+		out = append(out, dgwatch.Peer{VM: dandeliongap.VMName(fmt.Sprint("vm-", i))})
+	}
+	return out
+}
+
+// roles counts the VMs of each role, and of the readers those whose calls succeed.
+func roles(present []dgwatch.Peer) (count map[dgwatch.Role]int, sound int) {
+	count = make(map[dgwatch.Role]int)
+	for _, p := range present {
+		role := dgwatch.RoleOf(p.VM, present)
+		count[role]++
+		if role == dgwatch.Reads && !p.Away {
+			sound++
+		}
+	}
+	return count, sound
+}
+
+var _ = Describe("roles", func() {
+	It("W1 lets every VM of a small tier read, and six of a large one (guards against store calls that grow with the tier)", func() {
+		count, _ := roles(tier(dgwatch.Readers))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers}))
+		count, _ = roles(tier(610))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers, dgwatch.Follows: 610 - dgwatch.Readers}))
+	})
+	It("W1 replaces readers that are gone (guards against a tier that hears nothing after a loss)", func() {
+		present := tier(62)
+		var left []dgwatch.Peer
+		for _, p := range present {
+			if dgwatch.RoleOf(p.VM, present) != dgwatch.Reads {
+				left = append(left, p)
+			}
+		}
+		count, _ := roles(left)
+		Expect(count[dgwatch.Reads]).To(Equal(dgwatch.Readers))
+	})
+	It("W2 lets others read when the store refuses the readers, which go on trying (guards against a tier that is blind since the store refuses six VMs)", func() {
+		present := tier(62)
+		for i, p := range present {
+			present[i].Away = dgwatch.RoleOf(p.VM, tier(62)) == dgwatch.Reads
+		}
+		count, sound := roles(present)
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: 2 * dgwatch.Readers, dgwatch.Follows: 62 - 2*dgwatch.Readers}))
+		Expect(sound).To(Equal(dgwatch.Readers))
+		Expect(dgwatch.StoreAway(present)).To(BeFalse())
+	})
+	It("W2 lets six VMs look for a store that fails for all (guards against an outage in which all VMs call)", func() {
+		present := tier(62)
+		for i := range present {
+			present[i].Away = true
+		}
+		count, _ := roles(present)
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers, dgwatch.Retries: 62 - dgwatch.Readers}))
+		Expect(dgwatch.StoreAway(present)).To(BeTrue())
+	})
+	It("lets a VM read that hears of no other", func() {
+		Expect(dgwatch.RoleOf("vm", []dgwatch.Peer{{VM: "vm", Away: true}})).To(Equal(dgwatch.Reads))
+	})
+})
+
+// TestMirror guards against a VM that misses a change or a removal when it takes
+// changes from another one, whatever it had before (W4).
+func TestMirror(t *testing.T) {
+	const kind = "k"
+	rapid.Check(t, func(t *rapid.T) {
+		var m dgwatch.Mirror
+		truth := make(map[dandeliongap.ObjectName]dandeliongap.Object)
+		version := dandeliongap.Version(0)
+		type follower struct {
+			since dandeliongap.Version
+			state map[dandeliongap.ObjectName]dandeliongap.Object
+		}
+		followers := []*follower{{}, {}, {}}
+		list := func() dgwatch.State {
+			s := dgwatch.State{Full: true, Version: version}
+			for _, o := range truth {
+				s.Objects = append(s.Objects, o)
+			}
+			return s
+		}
+		version++
+		m.Take(kind, list())
+		change := func() dandeliongap.Object {
+			version++
+			name := dandeliongap.ObjectName(fmt.Sprintf("%s/%d", kind, rapid.IntRange(0, 5).Draw(t, "name")))
+			o := dandeliongap.Object{Name: name, Version: version}
+			if _, there := truth[name]; there && rapid.Bool().Draw(t, "removed") {
+				o.Deleted = true
+				delete(truth, name)
+				return o
+			}
+			truth[name] = o
+			return o
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				s := dgwatch.State{}
+				for range rapid.IntRange(1, 4).Draw(t, "changes") {
+					s.Objects = append(s.Objects, change())
+				}
+				s.Version = version
+				m.Take(kind, s)
+			case 3: // the history was dropped, and changes were missed
+				change()
+				change()
+				m.Take(kind, list())
+			default:
+				f := followers[rapid.IntRange(0, len(followers)-1).Draw(t, "follower")]
+				s, ok := m.Since(kind, f.since)
+				if !ok {
+					t.Fatal("nothing was read")
+				}
+				if s.Full {
+					f.state = make(map[dandeliongap.ObjectName]dandeliongap.Object)
+				}
+				for _, o := range s.Objects {
+					if o.Deleted {
+						delete(f.state, o.Name)
+					} else {
+						f.state[o.Name] = o
+					}
+				}
+				f.since = s.Version
+				same := func(a, b dandeliongap.Object) bool { return a.Version == b.Version }
+				if !maps.EqualFunc(f.state, truth, same) || f.since != version {
+					t.Fatalf("follower has %v at %d, the store %v at %d", f.state, f.since, truth, version)
+				}
+			}
+		}
+	})
+}
+
+var _ = It("W4 tells everything to a VM that missed more removals than are kept", func() {
+	var m dgwatch.Mirror
+	m.Take("k", dgwatch.State{Full: true, Version: 1})
+	version := dandeliongap.Version(1)
+	for i := range 5000 {
+		version++
+		m.Take("k", dgwatch.State{Version: version, Objects: []dandeliongap.Object{{Name: dandeliongap.ObjectName(fmt.Sprint("k/", i)), Version: version, Deleted: true}}})
+	}
+	s, ok := m.Since("k", 2)
+	Expect(ok).To(BeTrue())
+	Expect(s.Full).To(BeTrue())
+	s, _ = m.Since("k", version-3)
+	Expect(s.Full).To(BeFalse())
+	Expect(s.Objects).To(HaveLen(3))
+})
+
+var _ = It("knows nothing of a kind that was not read (guards against telling an empty state)", func() {
+	var m dgwatch.Mirror
+	_, ok := m.Since("k", 0)
+	Expect(ok).To(BeFalse())
+})
