Let the first list of the store be some seconds old, and confirm it by a look

The first list may be old now, at a tenth of the price; it is in force once a watch that does not wait has answered. After a dropped history the list is a full one.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -28,7 +28,9 @@
 type batch struct {
 	kind    string
 	full    bool // the whole collection
-	told    bool // not by the store: by another VM, or cut short
+	unsure  bool // may be older than the call (F4)
+	told    bool // by another VM, not by the store
+	cut     bool // the watch was cut short by a hint
 	objects []dandeliongap.Object
 	version dandeliongap.Version
 	err     error
@@ -176,8 +178,8 @@
 	case dandeliongap.KindMembers:
 		c.applyMembers(now, b)
 	}
-	first := !c.known[b.kind]
-	c.known[b.kind] = true
+	first := !c.known[b.kind] && !b.unsure
+	c.known[b.kind] = c.known[b.kind] || first
 	c.note(b)
 	if first || b.full || len(b.objects) > 0 {
 		c.refresh()
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -63,18 +63,22 @@
 //	    its watch and looks at once. Watches may therefore wait for long.
 //	F3  While the store fails, one follower of a VM looks whether it is back, and the
 //	    others wait for that one. All take changes from other VMs meanwhile.
+//	F4  The first list may be some seconds old, which costs the store less. It is in
+//	    force once a look at the changes after it was answered.
 type follower struct {
 	c     *control
 	kind  string
 	since dandeliongap.Version
 	hint  chan struct{} // F2
 	fails int
+	gone  bool                     // the store has dropped the history since the last list (F1)
+	sure  bool                     // the state is no older than the start of the VM (F4)
 	from  atomic.Pointer[[]string] // addresses of VMs that have newer changes
 }
 
 func (f *follower) run() {
 	for f.c.ctx.Err() == nil {
-		if f.since > 0 && f.c.role() == dgwatch.Follows {
+		if f.since > 0 && f.sure && f.c.role() == dgwatch.Follows {
 			f.rest(roleEvery, true)
 			continue
 		}
@@ -88,6 +92,7 @@
 			f.c.signal()
 		}
 		switch {
+		case b.unsure:
 		case len(b.objects) > 0:
 			f.c.sleep(afterChange[f.kind])
 		case f.c.e.now().Sub(begin) < retryOnce:
@@ -98,10 +103,12 @@
 
 // deliver gives a batch to the control goroutine; false if it brought no answer.
 func (f *follower) deliver(b batch) bool {
+	if b.cut {
+		return true
+	}
 	if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
 		f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
-		f.since = 0
-		f.fails = 0
+		f.since, f.fails, f.gone = 0, 0, true
 		return false
 	}
 	select {
@@ -116,6 +123,8 @@
 	if !b.told {
 		f.fails = 0
 	}
+	f.sure = f.sure || !b.full || b.told
+	f.gone = f.gone && !b.full
 	f.since = max(f.since, b.version)
 	return true
 }
@@ -183,6 +192,9 @@
 		wait = time.Millisecond
 	default:
 	}
+	if !f.sure {
+		wait = time.Millisecond
+	}
 	limit := callTimeout
 	if !b.full {
 		limit += wait
@@ -190,7 +202,13 @@
 	ctx, cancel := context.WithTimeout(f.c.ctx, limit)
 	defer cancel()
 	if b.full {
-		b.objects, b.version, b.err = f.c.e.opt.Store.List(ctx, f.kind)
+		f.sure = f.gone
+		list := f.c.e.opt.Store.ListStale
+		if f.gone {
+			list = f.c.e.opt.Store.List
+		}
+		b.objects, b.version, b.err = list(ctx, f.kind)
+		b.unsure = !f.sure
 		return b
 	}
 	over := make(chan struct{})
@@ -205,7 +223,7 @@
 	}()
 	b.objects, b.version, b.err = f.c.e.opt.Store.Watch(ctx, f.kind, f.since, wait)
 	if b.err != nil && len(f.hint) > 0 {
-		b.err, b.version, b.told = nil, f.since, true // cut short; the store did not fail
+		b.err, b.cut = nil, true // the store did not fail
 	}
 	return b
 }
--- a/route.go
+++ b/route.go
@@ -1,6 +1,9 @@
 package dandeliongap
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // RouteName names a route of a routing configuration.
 type RouteName string
@@ -89,6 +92,9 @@
 // requests along routes, and the means to read it.
 type EdgeStore interface {
 	ObjectStore
+	// ListStale is List at a fraction of the cost: what it returns may be some
+	// seconds old, as its version tells. A watch from there brings the rest.
+	ListStale(ctx context.Context, kind string) ([]Object, Version, error)
 	// DecodeRoutes reads the object of KindRoutes. Its error is ErrInvalid.
 	DecodeRoutes(o Object) (*RouteConfig, error)
 	// DecodeInstance reads an object of KindInstances. Its error is ErrInvalid.
