--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -48,7 +48,7 @@
 // brings several at once. Calls to the store are limited and priced.
 var afterChange = map[string]time.Duration{
 	dandeliongap.KindRoutes:    60 * time.Millisecond,
-	dandeliongap.KindInstances: 250 * time.Millisecond,
+	dandeliongap.KindInstances: 450 * time.Millisecond,
 	dandeliongap.KindZonesOut:  60 * time.Millisecond,
 	dandeliongap.KindMembers:   200 * time.Millisecond,
 }
