--- a/cmd/dandeliongap/main.go
+++ b/cmd/dandeliongap/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"dandeliongap.example/dandeliongap/dgcommand"
+	"dandeliongap.example/dandeliongap/platform"
 	"github.com/alecthomas/kong"
 	"github.com/mattn/go-isatty"
 )
@@ -35,6 +36,8 @@
 		Out:    os.Stdout,
 		Err:    os.Stderr,
 		IsTerm: isatty.IsTerminal(os.Stdout.Fd()),
+
+		DecodeReport: platform.DecodeReport,
 	})
 	if err != nil && !errors.Is(err, dgcommand.ErrFailed) {
 		fmt.Fprintln(os.Stderr, "dandeliongap:", err)
--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -41,6 +41,7 @@
 	Measure  MeasureCommand  `cmd:"" help:"Measure the decisions of the request path on a virtual clock against their targets."`
 	Capacity CapacityCommand `cmd:"" help:"Measure how the cost of one VM grows with the deployment, for docs/CAPACITY.md."`
 	Control  ControlCommand  `cmd:"" help:"Measure platform calls, bytes and the time of changes on an embedded cluster."`
+	Plot     PlotCommand     `cmd:"" help:"Draw reports of runs side by side."`
 	Standins StandinsCommand `cmd:"" name:"stand-ins" help:"Run the stand-ins of the platform and of all backend servers until interrupted."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
@@ -51,6 +52,8 @@
 	Out    io.Writer
 	Err    io.Writer
 	IsTerm bool // Out is a terminal
+	// DecodeReport reads the report of a run in the form of the platform's users.
+	DecodeReport func([]byte) (dandeliongap.RunReport, error)
 }
 
 // VersionCommand prints the version.
--- a/dgcommand/command_test.go
+++ b/dgcommand/command_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgcommand"
 	"dandeliongap.example/dandeliongap/dgdemo"
 	"github.com/alecthomas/kong"
@@ -63,7 +64,7 @@
 		return dgcommand.ExitUsage, err.Error()
 	}
 	var b bytes.Buffer
-	err = c.Run(&dgcommand.Env{Ctx: t.Context(), Out: &b, Err: &b})
+	err = c.Run(&dgcommand.Env{Ctx: t.Context(), Out: &b, Err: &b, DecodeReport: decodeReport})
 	if err != nil {
 		fmt.Fprintln(&b, err)
 	}
@@ -77,6 +78,34 @@
 	return path
 }
 
+// decodeReport reads reports that hold nothing but the worth.
+func decodeReport(text []byte) (r dandeliongap.RunReport, err error) {
+	_, err = fmt.Sscan(string(text), &r.Worth)
+	r.Spans = []dandeliongap.Served{{Name: "0", Worth: r.Worth}, {Name: "2", Worth: r.Worth}}
+	return r, err
+}
+
+// Guards against a plot that is not written, or that a faulty report replaces.
+func TestPlot(t *testing.T) {
+	g := NewWithT(t)
+	out := filepath.Join(t.TempDir(), "runs.png")
+	good := file(t, "good.json", "0.8")
+	code, text := run(t, "plot", good, "--out", out)
+	g.Expect(code).To(Equal(dgcommand.ExitOK), text)
+	before, err := os.ReadFile(out)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bytes.HasPrefix(before, []byte("\x89PNG"))).To(BeTrue())
+	code, text = run(t, "plot", good, file(t, "bad.json", "none"), "--out", out)
+	g.Expect(code).To(Equal(dgcommand.ExitFailed))
+	g.Expect(text).To(ContainSubstring("bad.json: "))
+	code, _ = run(t, "plot", good, good, good, good, good, "--out", out)
+	g.Expect(code).To(Equal(dgcommand.ExitFailed))
+	g.Expect(os.ReadFile(out)).To(Equal(before))
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(out), ".plot-*"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(left).To(BeEmpty())
+}
+
 // Guards against a check that passes a faulty text, or whose exit code or place
 // of the fault misleads a script.
 func TestCheck(t *testing.T) {
--- /dev/null
+++ b/dgplot/dgplot_test.go
@@ -0,0 +1,59 @@
+package dgplot_test
+
+import (
+	"bytes"
+	"errors"
+	"image/png"
+	"testing"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgplot"
+	. "github.com/onsi/gomega"
+)
+
+func run(name string, worth float64) dgplot.Run {
+	span := func(begin string) dandeliongap.Served {
+		return dandeliongap.Served{Name: begin, Requests: 10, InTime: 9, Worth: worth, MedianLatency: 40 * time.Millisecond, HighLatency: time.Second}
+	}
+	return dgplot.Run{Name: name, Report: dandeliongap.RunReport{
+		Worth: worth, Spans: []dandeliongap.Served{span("0"), span("2"), span("4")}, Routes: []dandeliongap.Served{span("search"), span("fetch")},
+	}}
+}
+
+// draw returns the picture of some runs.
+func draw(g *WithT, runs ...dgplot.Run) []byte {
+	var b bytes.Buffer
+	g.Expect(dgplot.Draw(&b, runs)).To(Succeed())
+	return b.Bytes()
+}
+
+// TestDraw guards against a picture that cannot be read, and one that does not
+// depend on what it shows.
+func TestDraw(t *testing.T) {
+	g := NewWithT(t)
+	one := draw(g, run("before", 0.8))
+	img, err := png.Decode(bytes.NewReader(one))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(img.Bounds().Dx()).To(BeNumerically(">", 500))
+	g.Expect(draw(g, run("before", 0.8))).To(Equal(one))
+	g.Expect(draw(g, run("before", 0.4))).NotTo(Equal(one))
+	g.Expect(draw(g, run("before", 0.8), run("after", 0.9))).NotTo(Equal(one))
+}
+
+// TestFaults guards against a picture of reports that cannot be shown, and against
+// a panic on a day without requests.
+func TestFaults(t *testing.T) {
+	g := NewWithT(t)
+	var b bytes.Buffer
+	g.Expect(errors.Is(dgplot.Draw(&b, nil), dandeliongap.ErrInvalid)).To(BeTrue())
+	bad := run("bad", 1)
+	bad.Report.Spans[1].Name = "noon"
+	g.Expect(errors.Is(dgplot.Draw(&b, []dgplot.Run{bad}), dandeliongap.ErrInvalid)).To(BeTrue())
+	idle := run("idle", 0)
+	idle.Report.Routes = nil
+	for i := range idle.Report.Spans {
+		idle.Report.Spans[i] = dandeliongap.Served{Name: idle.Report.Spans[i].Name}
+	}
+	g.Expect(dgplot.Draw(&b, []dgplot.Run{idle})).To(Succeed())
+}
--- /dev/null
+++ b/served.go
@@ -0,0 +1,18 @@
+package dandeliongap
+
+import "time"
+
+// Served tells how one group of requests was served, in one run.
+type Served struct {
+	Name                                     string
+	Requests, InTime, Late, NotRun, Unserved int
+	Worth                                    float64 // what callers got, as a share of what they were owed
+	MedianLatency, HighLatency               time.Duration
+}
+
+// RunReport tells how callers were served in one run.
+type RunReport struct {
+	Worth  float64
+	Spans  []Served // by time; the name is the second at which it begins
+	Routes []Served // by kind of request
+}
