Keep beats of a large tier in the zone but for one, and count a VM as lost later there

Each change deals the connections anew. And two of three beats crossed zones. The time until a VM counts as lost grows with the tier (a test with 200 VMs failed first); up to 12 VMs nothing changes.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -48,6 +49,7 @@
 
 	udp    *net.UDPConn
 	packer packer
+	rng    *rand.Rand // of the control goroutine
 
 	table    *dgroute.Table
 	catalog  *dgcatalog.Catalog
@@ -86,6 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &control{
 		e: e, ctx: ctx, cancel: cancel,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		batches:  make(chan batch),
 		beats:    make(chan []dgpresence.Beat, beatsQueue),
 		poked:    make(chan struct{}, 1),
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 
@@ -34,12 +33,6 @@
 	// gossipUnpacked bounds what a datagram is unpacked to: the beats of some
 	// thousand VMs.
 	gossipUnpacked = 1 << 20
-	// gossipPeers is the number of VMs that each beat goes to directly; in larger
-	// tiers, which pass each other's beats on, gossipMany is enough.
-	gossipPeers = 5
-	gossipMany  = 3
-	// gossipSmall is the number of VMs up to which a tier is not large.
-	gossipSmall = 12
 )
 
 // gossip is the content of a datagram.
@@ -129,12 +122,7 @@
 			to = append(to, m)
 		}
 	}
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	peers := gossipPeers
-	if len(to) >= gossipSmall {
-		peers = gossipMany
-	}
-	for _, m := range to[:min(len(to), peers)] {
+	for _, m := range dgpresence.Peers(c.rng, c.e.opt.Settings.Zone, to) {
 		addr, err := net.ResolveUDPAddr("udp", m.Gossip)
 		if err == nil {
 			_, err = c.udp.WriteToUDP(text, addr)
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -4,9 +4,12 @@
 //
 // Rules:
 //
-//	V1  A VM is present while its beat rose within LostAfter, as seen by any path.
+//	V1  A VM is present while its beat rose within LostAfter, as seen by any path;
+//	    longer in a large tier, where beats take some rounds to reach all.
 //	V2  A higher boot replaces a lower one of the same name; a lower one is ignored.
 //	V3  A process that was paused itself adds its pause to the age that it allows.
+//	V4  In a large tier a beat goes to few VMs, most of them in the own zone. Every
+//	    zone hears of the others through those that are elsewhere.
 package dgpresence
 
 import (
@@ -16,10 +19,20 @@
 	"dandeliongap.example/dandeliongap"
 )
 
-// LostAfter is the age of the last beat at which a VM counts as lost: four beats
-// and the time that a datagram may be relayed.
+// LostAfter is the age of the last beat at which a VM counts as lost in a small
+// tier: four beats and the time that a datagram may be relayed.
 const LostAfter = 1200 * time.Millisecond
 
+const (
+	// relayGrowth is the factor of VMs for which LostAfter grows by relayBeats: each
+	// beat goes to three VMs, and one VM in some thousand hears two rounds later than
+	// the others.
+	relayGrowth = 4
+	relayBeats  = 2
+	// knownFor is the age of the last beat up to which a VM counts for the size.
+	knownFor = 10 * time.Second
+)
+
 // BeatEvery is the time between two beats.
 const BeatEvery = 250 * time.Millisecond
 
@@ -44,6 +57,7 @@
 	self  Beat
 	peers map[dandeliongap.VMName]*seen
 	last  dandeliongap.Instant
+	size  int // VMs of the tier, this one included
 }
 
 // New returns the view of a VM that starts.
@@ -67,6 +81,12 @@
 		}
 	}
 	v.last = now
+	v.size = 1
+	for _, p := range v.peers {
+		if now.Sub(p.heard) <= knownFor {
+			v.size++
+		}
+	}
 	v.self.Count++
 	v.self.Serving, v.self.Away = own.Serving, own.Away
 	v.self.Seen = maps.Clone(own.Seen)
@@ -77,7 +97,7 @@
 func (v *View) Others(now dandeliongap.Instant) []Beat {
 	var out []Beat
 	for _, p := range v.peers {
-		if now.Sub(p.heard) <= LostAfter {
+		if now.Sub(p.heard) <= v.lostAfter() {
 			out = append(out, p.beat)
 		}
 	}
@@ -102,11 +122,20 @@
 	}
 }
 
+// lostAfter returns the age at which a VM counts as lost (V1).
+func (v *View) lostAfter() time.Duration {
+	age := LostAfter
+	for n := smallTier + 1; n < v.size; n *= relayGrowth {
+		age += relayBeats * BeatEvery
+	}
+	return age
+}
+
 // Present tells whether a VM other than this one is alive (V1), and whether it
 // accepts new callers.
 func (v *View) Present(now dandeliongap.Instant, vm dandeliongap.VMName) (alive, serving bool) {
 	p := v.peers[vm]
-	if p == nil || now.Sub(p.heard) > LostAfter {
+	if p == nil || now.Sub(p.heard) > v.lostAfter() {
 		return false, false
 	}
 	return true, p.beat.Serving
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -1,6 +1,9 @@
 package dgpresence_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +66,86 @@
 		Expect(v.Tick(at(0), dgpresence.Report{Serving: true})).To(HaveLen(1))
 	})
 })
+
+// tier is n VMs in turn in three zones.
+func tier(n int) []dandeliongap.EdgeMember {
+	var out []dandeliongap.EdgeMember
+	for i := range n {
+		out = append(out, dandeliongap.EdgeMember{VM: dandeliongap.VMName(fmt.Sprint("vm-", i)), Zone: dandeliongap.ZoneName(fmt.Sprint("z", i%3))})
+	}
+	return out
+}
+
+var _ = Describe("Peers", func() {
+	rng := rand.New(rand.NewPCG(1, 1))
+	It("V4 stay in the own zone but for one in a large tier (guards against traffic between zones that grows with the tier)", func() {
+		seen := make(map[dandeliongap.VMName]bool)
+		for range 300 {
+			far := 0
+			peers := dgpresence.Peers(rng, "z0", tier(61))
+			Expect(peers).To(HaveLen(3))
+			for _, m := range peers {
+				seen[m.VM] = true
+				if m.Zone != "z0" {
+					far++
+				}
+			}
+			Expect(far).To(Equal(1))
+		}
+		Expect(seen).To(HaveLen(61), "every VM is reached in time")
+	})
+	It("V4 are as many where the own zone has too few", func() {
+		Expect(dgpresence.Peers(rng, "elsewhere", tier(61))).To(HaveLen(3))
+		one := tier(61)
+		for i := range one {
+			one[i].Zone = "z0"
+		}
+		Expect(dgpresence.Peers(rng, "z0", one)).To(HaveLen(3))
+	})
+	It("V4 are most of a small tier, wherever they are", func() {
+		Expect(dgpresence.Peers(rng, "z0", tier(5))).To(HaveLen(5))
+		Expect(dgpresence.Peers(rng, "z0", tier(11))).To(HaveLen(5))
+		Expect(dgpresence.Peers(rng, "z0", nil)).To(BeEmpty())
+	})
+})
+
+// Guards against VMs of a large tier that are taken as lost since their beats come
+// by way of others: the directory and the shares of all would change with each.
+var _ = It("V1 and V4 keep all VMs of a tier present that is alive, and lose one that is not", func() {
+	for _, n := range []int{6, 12, 62, 200} {
+		rng := rand.New(rand.NewPCG(1, uint64(n)))
+		all := tier(n)
+		views := make(map[dandeliongap.VMName]*dgpresence.View)
+		for _, m := range all {
+			views[m.VM] = dgpresence.New(m.VM, 1)
+		}
+		const rounds, dies = 100, 80
+		for round := range rounds {
+			now := at(time.Duration(round) * dgpresence.BeatEvery)
+			for i, m := range all {
+				if i == 0 && round >= dies {
+					continue
+				}
+				beats := views[m.VM].Tick(now, dgpresence.Report{Serving: true})
+				for _, p := range dgpresence.Peers(rng, m.Zone, append(slices.Clone(all[:i]), all[i+1:]...)) {
+					views[p.VM].Hear(now, beats)
+				}
+			}
+			if round < 20 { // until all have heard of all
+				continue
+			}
+			for _, m := range all[1:] {
+				for _, other := range all {
+					alive, _ := views[m.VM].Present(now, other.VM)
+					if other.VM != m.VM && other.VM != all[0].VM {
+						Expect(alive).To(BeTrue(), "%d VMs, round %d: %s at %s", n, round, other.VM, m.VM)
+					}
+				}
+			}
+		}
+		for _, m := range all[1:] {
+			alive, _ := views[m.VM].Present(at(rounds*dgpresence.BeatEvery), all[0].VM)
+			Expect(alive).To(BeFalse())
+		}
+	}
+})
