Do not wait between the parts of a backlog of changes

Ruled out: the watch itself, which answered within 7 ms each time. A large answer is followed by the next one at once; the test failed first.

--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -15,3 +15,6 @@
 	}
 	l.close()
 }
+
+// WaitAfter is how long a follower waits after an answer of the store.
+var WaitAfter = waitAfter
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -44,6 +44,10 @@
 	registerEvery = 200 * time.Millisecond
 )
 
+// backlogFrom is below the 500 changes that stores tell at a time, and above what
+// happens to the replicas of a large tier within afterChange.
+const backlogFrom = 300
+
 // afterChange is how long a follower waits after a change, so that the next answer
 // brings several at once. Calls to the store are limited and priced.
 var afterChange = map[string]time.Duration{
@@ -91,16 +95,28 @@
 		if f.kind == dandeliongap.KindRoutes && !b.told {
 			f.c.signal()
 		}
-		switch {
-		case b.unsure:
-		case len(b.objects) > 0:
-			f.c.sleep(afterChange[f.kind])
-		case f.c.e.now().Sub(begin) < retryOnce:
-			f.c.sleep(retryOnce) // the watch did not wait
+		if !b.unsure {
+			f.c.sleep(waitAfter(f.kind, len(b.objects), f.c.e.now().Sub(begin)))
 		}
 	}
 }
 
+// waitAfter returns how long a follower waits after an answer with so many changes
+// that took so long. More than backlogFrom of them are what a VM has missed, and
+// the store tells them in parts: there is no wait in between.
+func waitAfter(kind string, changes int, took time.Duration) time.Duration {
+	switch {
+	case changes >= backlogFrom:
+		return 0
+	case changes > 0:
+		return afterChange[kind]
+	case took < retryOnce:
+		return retryOnce // the watch did not wait
+	default:
+		return 0
+	}
+}
+
 // deliver gives a batch to the control goroutine; false if it brought no answer.
 func (f *follower) deliver(b batch) bool {
 	if b.cut {
--- /dev/null
+++ b/dgedge/follow_test.go
@@ -0,0 +1,25 @@
+package dgedge_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgedge"
+)
+
+var _ = Describe("a follower of the store", func() {
+	It("does not wait while it makes up for what it missed (guards against a draining replica that is used for seconds after the store refused a VM; krs-search-grown trouble-1, seed of the site file)", func() {
+		Expect(dgedge.WaitAfter(dandeliongap.KindInstances, 500, 10*time.Millisecond)).To(BeZero())
+	})
+	It("waits after few changes, and after a watch that did not wait (guards against a call for each change)", func() {
+		Expect(dgedge.WaitAfter(dandeliongap.KindInstances, 3, 10*time.Millisecond)).To(BeNumerically(">=", 250*time.Millisecond))
+		Expect(dgedge.WaitAfter(dandeliongap.KindRoutes, 0, time.Millisecond)).To(BeNumerically(">", 0))
+		Expect(dgedge.WaitAfter(dandeliongap.KindRoutes, 0, 10*time.Second)).To(BeZero())
+	})
+	It("leaves time to stop using a draining replica (guards against a bound of three seconds that waits use up)", func() {
+		Expect(dgedge.WaitAfter(dandeliongap.KindInstances, 1, 0)).To(BeNumerically("<=", time.Second))
+	})
+})
