Name pulling and roles in the usual terms; split the daemon's role from its pulls

Cause: reading the diff as a newcomer: tell, told and ask stood for passing on and pulling changes. No change of behaviour but for the names in log lines and counters.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -30,7 +30,7 @@
 	kind    string
 	full    bool // the whole collection
 	unsure  bool // may be older than the call (F4)
-	told    bool // by another VM, not by the store
+	pulled  bool // by another VM, not by the store
 	cut     bool // the watch was cut short by a hint
 	objects []dandeliongap.Object
 	version dandeliongap.Version
@@ -165,7 +165,7 @@
 		c.storeLost(b)
 		return
 	}
-	if !b.told {
+	if !b.pulled {
 		c.storeRegained(now, b.kind)
 	}
 	c.e.mirror.Take(b.kind, dgwatch.State{Full: b.full, Version: b.version, Objects: b.objects})
@@ -220,14 +220,14 @@
 			delete(c.behind, kind)
 		case c.behind[kind] == 0:
 			c.behind[kind] = now
-			if c.role() == dgwatch.Reads && len(c.lostKind) == 0 {
+			if c.role() == dgwatch.Reader && len(c.lostKind) == 0 {
 				continue
 			}
-			f.tellFrom(c.sources(now, kind))
+			f.setSources(c.sources(now, kind))
 		case now.Sub(c.behind[kind]) > behindMost:
 			c.behind[kind] = now
 			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Complete", uint64(c.complete[kind])).Uint64("Others", uint64(c.others[kind])).Send()
-			f.tellFrom(c.sources(now, kind))
+			f.setSources(c.sources(now, kind))
 		}
 	}
 }
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -130,7 +130,7 @@
 		e.opt.Settings.Names: e.handleNames,
 		e.opt.Settings.Vars:  e.handleVars,
 
-		e.opt.Settings.Gossip: e.handleTell,
+		e.opt.Settings.Gossip: e.handleChanges,
 	} {
 		if addr == "" {
 			continue
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -44,7 +44,7 @@
 	registerEvery = 200 * time.Millisecond
 )
 
-// backlogFrom is below the 500 changes that stores tell at a time, and above what
+// backlogFrom is below the 500 changes that stores return at a time, and above what
 // happens to the replicas of a large tier within afterChange.
 const backlogFrom = 300
 
@@ -66,7 +66,7 @@
 //	F2  A VM that learns from another one that the store has something newer ends
 //	    its watch and looks at once. Watches may therefore wait for long.
 //	F3  While the store fails, one follower of a VM looks whether it is back, and the
-//	    others wait for that one. All take changes from other VMs meanwhile.
+//	    others wait for that one. All pull changes from other VMs meanwhile.
 //	F4  The first list may be some seconds old, which costs the store less. It is in
 //	    force once a look at the changes after it was answered.
 type follower struct {
@@ -82,7 +82,7 @@
 
 func (f *follower) run() {
 	for f.c.ctx.Err() == nil {
-		if f.since > 0 && f.sure && f.c.role() == dgwatch.Follows {
+		if f.since > 0 && f.sure && f.c.role() == dgwatch.Puller {
 			f.rest(roleEvery, true)
 			continue
 		}
@@ -92,7 +92,7 @@
 			f.pause()
 			continue
 		}
-		if f.kind == dandeliongap.KindRoutes && !b.told {
+		if f.kind == dandeliongap.KindRoutes && !b.pulled {
 			f.c.signal()
 		}
 		if !b.unsure {
@@ -103,7 +103,7 @@
 
 // waitAfter returns how long a follower waits after an answer with so many changes
 // that took so long. More than backlogFrom of them are what a VM has missed, and
-// the store tells them in parts: there is no wait in between.
+// the store returns them in parts: there is no wait in between.
 func waitAfter(kind string, changes int, took time.Duration) time.Duration {
 	switch {
 	case changes >= backlogFrom:
@@ -136,26 +136,27 @@
 		f.fails++
 		return false
 	}
-	if !b.told {
+	if !b.pulled {
 		f.fails = 0
 	}
-	f.sure = f.sure || !b.full || b.told
+	f.sure = f.sure || !b.full || b.pulled
 	f.gone = f.gone && !b.full
 	f.since = max(f.since, b.version)
 	return true
 }
 
-// pause waits after a failure (F3). A VM that starts asks another one (W5).
+// pause waits after a failure (F3). A VM that starts pulls from another one
+// (dgwatch W5).
 func (f *follower) pause() {
 	if f.since == 0 && f.fails > 0 {
-		if b, err := f.ask(f.c.heardFrom()); err == nil && f.deliver(b) {
+		if b, err := f.pull(f.c.heardFrom()); err == nil && f.deliver(b) {
 			return
 		}
 	}
 	switch {
 	case f.fails <= 1:
 		f.c.sleep(retryOnce)
-	case f.c.role() == dgwatch.Retries:
+	case f.c.role() == dgwatch.Retrier:
 		f.rest(time.Duration((0.75+rand.Float64()/2)*float64(probeRarely)), false)
 	case f.kind == dandeliongap.KindRoutes:
 		f.rest(probeEvery, false)
@@ -164,8 +165,8 @@
 	}
 }
 
-// rest takes changes from other VMs for a while, or until the store is back. look
-// allows to look at the store when no VM can tell them (W3).
+// rest pulls changes from other VMs for a while, or until the store is back. look
+// allows to look at the store when no VM answers (dgwatch W3).
 func (f *follower) rest(most time.Duration, look bool) {
 	back := f.c.storeBack()
 	t := time.NewTimer(most)
@@ -173,7 +174,7 @@
 	for {
 		select {
 		case <-f.hint:
-			b, err := f.ask(f.source())
+			b, err := f.pull(f.source())
 			if err != nil && look {
 				f.push()
 				b = f.fetch()
@@ -201,8 +202,8 @@
 	select {
 	case <-f.hint:
 		if f.fails > 0 {
-			if told, err := f.ask(f.source()); err == nil {
-				return told
+			if pulled, err := f.pull(f.source()); err == nil {
+				return pulled
 			}
 		}
 		wait = time.Millisecond
--- a/dgwatch/dgwatch.go
+++ b/dgwatch/dgwatch.go
@@ -1,19 +1,20 @@
-// Package dgwatch decides which VMs read the store, and what one VM tells another
-// of the control state that it has read. It answers the load that a large tier puts
-// on a store whose rates grow more slowly than the tier.
+// Package dgwatch decides which VMs read the store, and what one VM passes on to
+// another of the control state that it has read. It answers the load that a large
+// tier puts on a store whose rates grow more slowly than the tier.
 //
 // Rules:
 //
 //	W1  The first Readers of the VMs that are present, by rank, read the store. The
-//	    others take changes from VMs that have them.
+//	    others pull changes from VMs that have them.
 //	W2  VMs whose calls to the store fail are passed over, so that as many others
 //	    read. Of those that fail, the first Readers by rank go on trying; the others
 //	    try again now and then.
-//	W3  A VM that knows of a newer change than its own asks a VM that has it for all
-//	    changes since its own state. If nobody can tell, it looks at the store itself.
-//	W4  Changes are told from a version on only if none after it is missing, removals
-//	    included; otherwise the whole state is told.
-//	W5  A VM that starts and gets no answer from the store asks a VM that it hears of.
+//	W3  A VM that knows of a newer change than its own pulls all changes since its own
+//	    state from a VM that has it. If no VM answers, it looks at the store itself.
+//	W4  Changes since a version are passed on only if none after it is missing,
+//	    removals included; otherwise the whole state is.
+//	W5  A VM that starts and gets no answer from the store pulls from a VM that it
+//	    hears of.
 package dgwatch
 
 import (
@@ -39,12 +40,12 @@
 
 // Roles. The zero value is that of a VM that knows of no other.
 const (
-	Reads   Role = iota // reads the store
-	Follows             // takes changes from other VMs
-	Retries             // its calls fail and others read: tries now and then
+	Reader  Role = iota // reads the store
+	Puller              // pulls changes from other VMs
+	Retrier             // its calls fail and others read: tries now and then
 )
 
-var roleNames = [...]string{"reads", "follows", "retries"}
+var roleNames = [...]string{"reader", "puller", "retrier"}
 
 // String returns the name that log lines use.
 func (r Role) String() string { return roleNames[r] }
@@ -65,20 +66,20 @@
 		switch {
 		case p.VM != self:
 		case chosen:
-			return Reads
+			return Reader
 		case p.Away:
-			return Retries
+			return Retrier
 		default:
-			return Follows
+			return Puller
 		}
 	}
-	return Reads
+	return Reader
 }
 
 // StoreAway tells whether every VM that should read the store fails to.
 func StoreAway(present []Peer) bool {
 	for _, p := range present {
-		if !p.Away && RoleOf(p.VM, present) == Reads {
+		if !p.Away && RoleOf(p.VM, present) == Reader {
 			return false
 		}
 	}
--- a/dgwatch/dgwatch_test.go
+++ b/dgwatch/dgwatch_test.go
@@ -39,7 +39,7 @@
 	for _, p := range present {
 		role := dgwatch.RoleOf(p.VM, present)
 		count[role]++
-		if role == dgwatch.Reads && !p.Away {
+		if role == dgwatch.Reader && !p.Away {
 			sound++
 		}
 	}
@@ -49,28 +49,28 @@
 var _ = Describe("roles", func() {
 	It("W1 lets every VM of a small tier read, and six of a large one (guards against store calls that grow with the tier)", func() {
 		count, _ := roles(tier(dgwatch.Readers))
-		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers}))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reader: dgwatch.Readers}))
 		count, _ = roles(tier(610))
-		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers, dgwatch.Follows: 610 - dgwatch.Readers}))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reader: dgwatch.Readers, dgwatch.Puller: 610 - dgwatch.Readers}))
 	})
 	It("W1 replaces readers that are gone (guards against a tier that hears nothing after a loss)", func() {
 		present := tier(62)
 		var left []dgwatch.Peer
 		for _, p := range present {
-			if dgwatch.RoleOf(p.VM, present) != dgwatch.Reads {
+			if dgwatch.RoleOf(p.VM, present) != dgwatch.Reader {
 				left = append(left, p)
 			}
 		}
 		count, _ := roles(left)
-		Expect(count[dgwatch.Reads]).To(Equal(dgwatch.Readers))
+		Expect(count[dgwatch.Reader]).To(Equal(dgwatch.Readers))
 	})
 	It("W2 lets others read when the store refuses the readers, which go on trying (guards against a tier that is blind since the store refuses six VMs)", func() {
 		present := tier(62)
 		for i, p := range present {
-			present[i].Away = dgwatch.RoleOf(p.VM, tier(62)) == dgwatch.Reads
+			present[i].Away = dgwatch.RoleOf(p.VM, tier(62)) == dgwatch.Reader
 		}
 		count, sound := roles(present)
-		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: 2 * dgwatch.Readers, dgwatch.Follows: 62 - 2*dgwatch.Readers}))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reader: 2 * dgwatch.Readers, dgwatch.Puller: 62 - 2*dgwatch.Readers}))
 		Expect(sound).To(Equal(dgwatch.Readers))
 		Expect(dgwatch.StoreAway(present)).To(BeFalse())
 	})
@@ -80,15 +80,15 @@
 			present[i].Away = true
 		}
 		count, _ := roles(present)
-		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reads: dgwatch.Readers, dgwatch.Retries: 62 - dgwatch.Readers}))
+		Expect(count).To(Equal(map[dgwatch.Role]int{dgwatch.Reader: dgwatch.Readers, dgwatch.Retrier: 62 - dgwatch.Readers}))
 		Expect(dgwatch.StoreAway(present)).To(BeTrue())
 	})
 	It("lets a VM read that hears of no other", func() {
-		Expect(dgwatch.RoleOf("vm", []dgwatch.Peer{{VM: "vm", Away: true}})).To(Equal(dgwatch.Reads))
+		Expect(dgwatch.RoleOf("vm", []dgwatch.Peer{{VM: "vm", Away: true}})).To(Equal(dgwatch.Reader))
 	})
 })
 
-// TestMirror guards against a VM that misses a change or a removal when it takes
+// TestMirror guards against a VM that misses a change or a removal when it pulls
 // changes from another one, whatever it had before (W4).
 func TestMirror(t *testing.T) {
 	const kind = "k"
@@ -161,7 +161,7 @@
 	})
 }
 
-var _ = It("W4 tells everything to a VM that missed more removals than are kept", func() {
+var _ = It("W4 passes everything on to a VM that missed more removals than are kept", func() {
 	var m dgwatch.Mirror
 	m.Take("k", dgwatch.State{Full: true, Version: 1})
 	version := dandeliongap.Version(1)
@@ -177,7 +177,7 @@
 	Expect(s.Objects).To(HaveLen(3))
 })
 
-var _ = It("knows nothing of a kind that was not read (guards against telling an empty state)", func() {
+var _ = It("knows nothing of a kind that was not read (guards against passing an empty state on)", func() {
 	var m dgwatch.Mirror
 	_, ok := m.Since("k", 0)
 	Expect(ok).To(BeFalse())
--- a/dgwatch/mirror.go
+++ b/dgwatch/mirror.go
@@ -13,7 +13,7 @@
 // than a release of all backend servers of a tier makes within a few seconds.
 const removalsKept = 4096
 
-// State is a part of the control state of one kind, as one VM tells it to another.
+// State is a part of the control state of one kind, as one VM passes it on to another.
 type State struct {
 	Full    bool // all objects; otherwise what changed
 	Version dandeliongap.Version
@@ -70,7 +70,7 @@
 }
 
 // Since returns what changed after a version, or the whole state if that cannot be
-// told (W4); false if nothing of the kind was read yet.
+// determined (W4); false if nothing of the kind was read yet.
 func (m *Mirror) Since(kind string, since dandeliongap.Version) (State, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
