Prefer a replica that has not lost the request before the same one again

A replica that has lost the request costs four times as much for it now (R3); the rule has a test that failed first. 50 runs of the two specs beside each other passed.

--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -9,7 +9,8 @@
 //	R2  This VM opens at most its share of a replica's connections (Deal).
 //	R3  Of the usable replicas, the one with the least cost is used: its slowness
 //	    times its requests under way, divided by its share of successes. Nearly equal
-//	    costs are decided at random.
+//	    costs are decided at random. One that has lost the same request before costs
+//	    lostCost times as much: it is used if the others are worse or out of use.
 //	R4  Slowness is learned from answers, relative to the route's typical latency,
 //	    and fades without new ones. A request under way counts with its age, from the
 //	    replica's last answer on: one that answers others does not pause.
@@ -70,6 +71,10 @@
 	// a replica is no more exact, and one that was slow must be tried again.
 	costSpread = 0.25
 
+	// lostCost is the factor of the cost of a replica that has lost the request: a
+	// replica that fails most requests has not shown it by one.
+	lostCost = 4
+
 	// coldSlowness is the cost of a cold replica relative to a warm one.
 	coldSlowness = 1.6
 )
@@ -281,10 +286,10 @@
 	return now.Sub(r.silentAt)
 }
 
-// Pick selects a replica and counts the request as under way (R1 to R8). Without
-// a usable replica its error is ErrNoReplica, and retry tells when there may be
-// one.
-func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, used []dandeliongap.InstanceID) (t Ticket, retry dandeliongap.Instant, err error) {
+// Pick selects a replica and counts the request as under way (R1 to R8), none of
+// used and rather none of those that have lost the request. Without a usable
+// replica its error is ErrNoReplica, and retry tells when there may be one.
+func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, used, lost []dandeliongap.InstanceID) (t Ticket, retry dandeliongap.Instant, err error) {
 	var best *replica
 	bestCost := math.Inf(1)
 	usable := 0
@@ -305,6 +310,9 @@
 		}
 		usable++
 		cost := b.cost(now, route, r) * (1 + costSpread*b.rng.Float64())
+		if slices.Contains(lost, r.inst.ID) {
+			cost *= lostCost
+		}
 		if cost < bestCost {
 			best, bestCost = r, cost
 		}
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -58,7 +58,7 @@
 
 // play sends one request that takes as long as took says and returns its replica.
 func (r *rig) play(now dandeliongap.Instant, took func(id string) time.Duration, res dgbalance.Result) string {
-	t, _, err := r.b.Pick(now, route, svc, nil)
+	t, _, err := r.b.Pick(now, route, svc, nil, nil)
 	if err != nil {
 		return ""
 	}
@@ -80,12 +80,12 @@
 		}
 		r.out = map[dandeliongap.ZoneName]bool{"z-b": true}
 		r.update(0, leaving, inst("b"))
-		_, _, err := r.b.Pick(0, route, svc, nil)
+		_, _, err := r.b.Pick(0, route, svc, nil, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
 		Expect(r.b.Prospect(0, svc)).To(Equal(dgbalance.None))
 		r.out = nil
 		r.update(0, leaving, inst("b"))
-		_, _, err = r.b.Pick(0, route, svc, []dandeliongap.InstanceID{"b"})
+		_, _, err = r.b.Pick(0, route, svc, []dandeliongap.InstanceID{"b"}, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
 	})
 	It("R3 and R4 leave a slow replica and return to it (guards against sending half of all requests to it)", func() {
@@ -108,12 +108,40 @@
 		Expect(count(1000, 5000, slow)).To(BeNumerically("<=", 16), "of 80 requests")
 		Expect(count(8000, 12000, steady)).To(BeNumerically(">=", 24), "of 80 requests")
 	})
+	It("R3 prefers a replica that has not lost the request, unless that one is much slower or out of use (guards against a second attempt at a replica that fails all requests)", func() {
+		r := newRig()
+		again := func(now dandeliongap.Instant) dandeliongap.InstanceID {
+			tk, _, err := r.b.Pick(now, route, svc, nil, []dandeliongap.InstanceID{"a"})
+			Expect(err).NotTo(HaveOccurred())
+			r.b.Done(now, route, &tk, dgbalance.Refused)
+			return tk.Instance.ID
+		}
+		for range 50 {
+			r = newRig() // knows nothing of either
+			Expect(again(ms(1))).To(BeEquivalentTo("b"))
+		}
+		r = newRig()
+		now := ms(1000)
+		for range 20 {
+			r.play(now, steady, dgbalance.Answered)
+			now = now.Add(20 * time.Millisecond)
+		}
+		for range 3 { // b answers twenty times as slowly
+			tk, _, err := r.b.Pick(now, route, svc, []dandeliongap.InstanceID{"a"}, nil)
+			Expect(err).NotTo(HaveOccurred())
+			now = now.Add(600 * time.Millisecond)
+			r.b.Done(now, route, &tk, dgbalance.Answered)
+		}
+		Expect(again(now)).To(BeEquivalentTo("a"))
+		r.update(now, inst("a"))
+		Expect(again(now)).To(BeEquivalentTo("a"))
+	})
 	It("R4 counts the age of requests under way (guards against a paused replica that looks fast)", func() {
 		r := newRig()
 		for at := range 20 {
 			r.play(ms(at*50), steady, dgbalance.Answered)
 		}
-		t, _, err := r.b.Pick(ms(1000), route, svc, nil)
+		t, _, err := r.b.Pick(ms(1000), route, svc, nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		for range 8 {
 			Expect(r.play(ms(1200), steady, dgbalance.Answered)).NotTo(Equal(string(t.Instance.ID)))
@@ -130,10 +158,10 @@
 		}
 		Expect(tries).To(BeNumerically("<=", 7))
 		Expect(r.b.Prospect(ms(2000), svc)).To(Equal(dgbalance.Down))
-		t, _, err := r.b.Pick(ms(4000), route, svc, nil)
+		t, _, err := r.b.Pick(ms(4000), route, svc, nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(t.Trial).To(BeTrue())
-		_, _, err = r.b.Pick(ms(4001), route, svc, nil)
+		_, _, err = r.b.Pick(ms(4001), route, svc, nil, nil)
 		Expect(err).To(MatchError(dandeliongap.ErrNoReplica))
 		r.b.Done(ms(4002), route, &t, dgbalance.Answered)
 		Expect(r.b.Prospect(ms(4003), svc)).To(Equal(dgbalance.Usable))
@@ -141,11 +169,11 @@
 	It("R6 gives a silent replica one request at a time (guards against all callers waiting for a dark replica)", func() {
 		r := newRig()
 		r.update(0, inst("a"))
-		_, _, err := r.b.Pick(0, route, svc, nil)
+		_, _, err := r.b.Pick(0, route, svc, nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		sent := 0
 		for at := 401; at < 1401; at++ {
-			if _, _, err := r.b.Pick(ms(at), route, svc, nil); err == nil {
+			if _, _, err := r.b.Pick(ms(at), route, svc, nil, nil); err == nil {
 				sent++
 			}
 		}
@@ -156,7 +184,7 @@
 		r.update(0, inst("a"))
 		sent, last := 0, dgbalance.Ticket{}
 		for at := 1; at < 4000; at += 10 {
-			t, _, err := r.b.Pick(ms(at), route, svc, nil)
+			t, _, err := r.b.Pick(ms(at), route, svc, nil, nil)
 			if err != nil {
 				continue
 			}
@@ -177,7 +205,7 @@
 		for at := range 20 {
 			r.play(ms(at*50), steady, dgbalance.Answered)
 		}
-		_, _, err := r.b.Pick(ms(1000), route, svc, nil)
+		_, _, err := r.b.Pick(ms(1000), route, svc, nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		for at := 1000; at < 5000; at += 50 {
 			Expect(r.play(ms(at), steady, dgbalance.Answered)).To(Equal("a"))
@@ -200,7 +228,7 @@
 		r := newRig()
 		r.update(0, inst("a"))
 		try := func(now dandeliongap.Instant, result dgbalance.Result) dgbalance.Change {
-			tk, _, err := r.b.Pick(now, route, svc, nil)
+			tk, _, err := r.b.Pick(now, route, svc, nil, nil)
 			Expect(err).NotTo(HaveOccurred())
 			return r.b.Done(now, route, &tk, result)
 		}
@@ -269,7 +297,7 @@
 	r.update(0, inst("a"), inst("b"))
 	sent := 0
 	for {
-		if _, _, err := r.b.Pick(0, route, svc, nil); err != nil {
+		if _, _, err := r.b.Pick(0, route, svc, nil, nil); err != nil {
 			break
 		}
 		sent++
@@ -295,7 +323,7 @@
 			limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{svc: {ColdRate: rate}}
 			b.Update(0, []dandeliongap.Instance{cold}, limits, nil, vms)
 			for now := ms(1); now < ms(3000); now = now.Add(2 * time.Millisecond) {
-				if tk, _, err := b.Pick(now, route, svc, nil); err == nil {
+				if tk, _, err := b.Pick(now, route, svc, nil, nil); err == nil {
 					at = append(at, now)
 					b.Done(now, route, &tk, dgbalance.Answered)
 				}
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -129,7 +129,7 @@
 		co.g.Unsent(s.Shard, now.Add(budgetRetry))
 		return
 	}
-	ticket, retry, err := e.bal.Pick(now, co.c.route.Name, service, co.g.Avoid(s.Shard))
+	ticket, retry, err := e.bal.Pick(now, co.c.route.Name, service, co.g.Avoid(s.Shard), co.g.LostAt(s.Shard))
 	switch {
 	case err != nil && s.Extra:
 		e.budget.Return(now, service)
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -13,8 +13,8 @@
 //	    that reached no replica counts neither as an attempt nor as an extra request.
 //	    A request that may not be repeated is sent again only if it certainly did not
 //	    run. It goes to any replica but those that still have it or said that they
-//	    did not run it: one that lost an answer may be the only one, or much faster
-//	    than the others.
+//	    did not run it, and rather to one that has not lost it before: one that lost
+//	    an answer may be the only one, or much faster than the others.
 //	G4  With all parts in, the answer goes out.
 //	G5  When the latency objective is about to pass, the answer goes out if its
 //	    coverage is enough for the route. After that it goes out as soon as it is.
@@ -84,6 +84,7 @@
 	trials   bool // all attempts were trials
 	unsure   bool
 	avoid    []dandeliongap.InstanceID // replicas that are not to get it now (G3)
+	lostAt   []dandeliongap.InstanceID // replicas that have lost it
 	lastSent dandeliongap.Instant
 	retry    dandeliongap.Instant // next time to try a send
 }
@@ -233,6 +234,9 @@
 // (G3).
 func (g *Gather) Avoid(i int) []dandeliongap.InstanceID { return g.shards[i].avoid }
 
+// LostAt returns the replicas that have lost a shard's sub-request (G3).
+func (g *Gather) LostAt(i int) []dandeliongap.InstanceID { return g.shards[i].lostAt }
+
 // Sent records that an attempt at a replica is under way; trial tells that the
 // replica was down or silent.
 func (g *Gather) Sent(now dandeliongap.Instant, i int, id dandeliongap.InstanceID, trial bool) {
@@ -272,6 +276,9 @@
 	if !reached {
 		s.attempts--
 	}
+	if reached && ran {
+		s.lostAt = append(s.lostAt, id)
+	}
 	if !reached || ran {
 		s.avoid = slices.DeleteFunc(s.avoid, func(a dandeliongap.InstanceID) bool { return a == id })
 	}
--- a/dggather/dggather_test.go
+++ b/dggather/dggather_test.go
@@ -123,6 +123,7 @@
 		g.Lost(ms(5), 0, "r1", true, true)
 		Expect(sendAll(g, ms(5))).To(Equal([]dggather.Send{{Shard: 0, Extra: true}}))
 		Expect(g.Avoid(0)).NotTo(ContainElement(dandeliongap.InstanceID("r1")))
+		Expect(g.LostAt(0)).To(ConsistOf(dandeliongap.InstanceID("r1")))
 
 		h := single(true)
 		_, _, _ = h.Step(0, nil)
--- a/dggather/load_test.go
+++ b/dggather/load_test.go
@@ -192,7 +192,7 @@
 		s.g.Unsent(x.Shard, now.Add(20*time.Millisecond))
 		return
 	}
-	ticket, retry, err := s.vm.bal.Pick(now, "search", name, s.g.Avoid(x.Shard))
+	ticket, retry, err := s.vm.bal.Pick(now, "search", name, s.g.Avoid(x.Shard), s.g.LostAt(x.Shard))
 	if err != nil {
 		if x.Extra {
 			s.vm.budget.Return(now, name)
