--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -76,6 +76,7 @@
 	// calls fail.
 	readersAway bool
 	careful     atomic.Int64 // instant until which watches wait shortly
+	settled     atomic.Int64 // instant until which lapsed registrations come back
 
 	backMu sync.Mutex
 	back   chan struct{} // closed when the store has answered
@@ -248,6 +249,7 @@
 	c.catalog.Regained(now)
 	if c.lostKind[kind] {
 		c.e.log.event("store regained").Str("Kind", kind).Dur("Age", now.Sub(c.heard)).Send()
+		c.settled.Store(int64(now.Add(settleFor)))
 	}
 	delete(c.lostKind, kind)
 	c.heard = now
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -48,6 +48,15 @@
 // happens to the replicas of a large tier within afterChange.
 const backlogFrom = 300
 
+const (
+	// settleFor is the time after the store's return in which lapsed registrations
+	// come back: two seconds by its documentation, and the way of the last ones.
+	settleFor = 3 * time.Second
+	// settlingWait replaces longer waits of afterChange in that time: about a tenth of
+	// the time in which all registrations come back.
+	settlingWait = 100 * time.Millisecond
+)
+
 // afterChange is how long a follower waits after a change, so that the next answer
 // brings several at once. Calls to the store are limited and priced.
 var afterChange = map[string]time.Duration{
@@ -96,18 +105,23 @@
 			f.c.signal()
 		}
 		if !b.unsure {
-			f.c.sleep(waitAfter(f.kind, len(b.objects), f.c.e.now().Sub(begin)))
+			now := f.c.e.now()
+			f.c.sleep(waitAfter(f.kind, len(b.objects), now.Sub(begin), int64(now) < f.c.settled.Load()))
 		}
 	}
 }
 
 // waitAfter returns how long a follower waits after an answer with so many changes
 // that took so long. More than backlogFrom of them are what a VM has missed, and
-// the store returns them in parts: there is no wait in between.
-func waitAfter(kind string, changes int, took time.Duration) time.Duration {
+// the store returns them in parts: there is no wait in between. While the state
+// settles after an outage, replicas that lapsed register again, and a VM that has
+// started meanwhile knows no other ones: waits are short.
+func waitAfter(kind string, changes int, took time.Duration, settling bool) time.Duration {
 	switch {
 	case changes >= backlogFrom:
 		return 0
+	case changes > 0 && settling:
+		return min(afterChange[kind], settlingWait)
 	case changes > 0:
 		return afterChange[kind]
 	case took < retryOnce:
