--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -103,7 +103,7 @@
 	return (*from)[rand.IntN(len(*from))]
 }
 
-// tellFrom tells the follower which VMs have something newer.
+// setSources hands the follower the addresses of VMs that have something newer.
 func (f *follower) setSources(addrs []string) {
 	f.from.Store(&addrs)
 	f.push()
