--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -71,8 +71,8 @@
 	// a replica is no more exact, and one that was slow must be tried again.
 	costSpread = 0.25
 
-	// lostCost is the factor of the cost of a replica that has lost the request: a
-	// replica that fails most requests has not shown it by one.
+	// lostCost is the factor of the cost of a replica that has lost the request: one
+	// failure alone raises it too little to leave a replica that fails all requests.
 	lostCost = 4
 
 	// coldSlowness is the cost of a cold replica relative to a warm one.
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -27,14 +27,14 @@
 
 // batch is what one answer of the store brought, or that it brought none.
 type batch struct {
-	kind    string
-	full    bool // the whole collection
-	unsure  bool // may be older than the call (F4)
-	pulled  bool // by another VM, not by the store
-	cut     bool // the watch was cut short by a hint
-	objects []dandeliongap.Object
-	version dandeliongap.Version
-	err     error
+	kind        string
+	full        bool // the whole collection
+	unconfirmed bool // may be older than the call (F4)
+	pulled      bool // by another VM, not by the store
+	cut         bool // the watch was cut short by a hint
+	objects     []dandeliongap.Object
+	version     dandeliongap.Version
+	err         error
 }
 
 // control owns the control state of a VM.
@@ -72,11 +72,11 @@
 	present   atomic.Int64                    // other VMs that are alive
 	roleNow   atomic.Int32                    // a dgwatch.Role
 	lastHeard atomic.Pointer[string]          // address that the last beats came from
-	// readersAway: this VM does not read the store, and those that do say that their
+	// readersFailing: this VM does not read the store, and those that do say that their
 	// calls fail.
-	readersAway bool
-	careful     atomic.Int64 // instant until which watches wait shortly
-	settled     atomic.Int64 // instant until which lapsed registrations come back
+	readersFailing bool
+	careful        atomic.Int64 // instant until which watches wait shortly
+	settled        atomic.Int64 // instant until which lapsed registrations come back
 
 	backMu sync.Mutex
 	back   chan struct{} // closed when the store has answered
@@ -169,7 +169,7 @@
 	if !b.pulled {
 		c.storeRegained(now, b.kind)
 	}
-	c.e.mirror.Take(b.kind, dgwatch.State{Full: b.full, Version: b.version, Objects: b.objects})
+	c.e.mirror.Apply(b.kind, dgwatch.State{Full: b.full, Version: b.version, Objects: b.objects})
 	switch b.kind {
 	case dandeliongap.KindRoutes:
 		for _, o := range b.objects {
@@ -182,7 +182,7 @@
 	case dandeliongap.KindMembers:
 		c.applyMembers(now, b)
 	}
-	first := !c.known[b.kind] && !b.unsure
+	first := !c.known[b.kind] && !b.unconfirmed
 	c.known[b.kind] = c.known[b.kind] || first
 	c.note(b)
 	if first || b.full || len(b.objects) > 0 {
@@ -285,7 +285,7 @@
 	for _, kind := range kinds {
 		v.ready = v.ready && c.known[kind]
 	}
-	v.stale = c.lostKind[dandeliongap.KindRoutes] || c.readersAway || now.Sub(c.heard) > storeStaleAfter
+	v.stale = c.lostKind[dandeliongap.KindRoutes] || c.readersFailing || now.Sub(c.heard) > storeStaleAfter
 	if v.ready && !e.leaving.Load() {
 		v.names = append(v.names, e.opt.Settings.Entry)
 	}
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -20,6 +20,9 @@
 	waitEach = 1500 * time.Millisecond
 	// waitMost is below the 30 s that stores allow.
 	waitMost = 20 * time.Second
+	// lookWait is the wait of a watch that only looks whether there is a change: the
+	// shortest that stores know.
+	lookWait = time.Millisecond
 	// waitCareful is how long after a failure of the store waits stay short.
 	waitCareful = 10 * time.Second
 
@@ -84,14 +87,17 @@
 	since dandeliongap.Version
 	hint  chan struct{} // F2
 	fails int
-	gone  bool                     // the store has dropped the history since the last list (F1)
-	sure  bool                     // the state is no older than the start of the VM (F4)
-	from  atomic.Pointer[[]string] // addresses of VMs that have newer changes
+	// historyGone: the store has dropped its history since the last list (F1).
+	historyGone bool
+	// confirmed: the state is no older than the start of the VM (F4).
+	confirmed bool
+	// from has the addresses of VMs that have newer changes.
+	from atomic.Pointer[[]string]
 }
 
 func (f *follower) run() {
 	for f.c.ctx.Err() == nil {
-		if f.since > 0 && f.sure && f.c.role() == dgwatch.Puller {
+		if f.since > 0 && f.confirmed && f.c.role() == dgwatch.Puller {
 			f.rest(roleEvery, true)
 			continue
 		}
@@ -104,7 +110,7 @@
 		if f.kind == dandeliongap.KindRoutes && !b.pulled {
 			f.c.signal()
 		}
-		if !b.unsure {
+		if !b.unconfirmed {
 			now := f.c.e.now()
 			f.c.sleep(waitAfter(f.kind, len(b.objects), now.Sub(begin), int64(now) < f.c.settled.Load()))
 		}
@@ -138,7 +144,7 @@
 	}
 	if errors.Is(b.err, dandeliongap.ErrHistoryGone) {
 		f.c.e.log.event("history gone").Str("Rule", "F1").Str("Kind", f.kind).Uint64("Since", uint64(f.since)).Send()
-		f.since, f.fails, f.gone = 0, 0, true
+		f.since, f.fails, f.historyGone = 0, 0, true
 		return false
 	}
 	select {
@@ -153,8 +159,8 @@
 	if !b.pulled {
 		f.fails = 0
 	}
-	f.sure = f.sure || !b.full || b.pulled
-	f.gone = f.gone && !b.full
+	f.confirmed = f.confirmed || !b.full || b.pulled
+	f.historyGone = f.historyGone && !b.full
 	f.since = max(f.since, b.version)
 	return true
 }
@@ -163,7 +169,7 @@
 // (dgwatch W5).
 func (f *follower) pause() {
 	if f.since == 0 && f.fails > 0 {
-		if b, err := f.pull(f.c.heardFrom()); err == nil && f.deliver(b) {
+		if b, err := f.pull("W5", f.c.heardFrom()); err == nil && f.deliver(b) {
 			return
 		}
 	}
@@ -188,14 +194,13 @@
 	for {
 		select {
 		case <-f.hint:
-			b, err := f.pull(f.source())
-			if err != nil && look {
-				f.push()
-				b = f.fetch()
-			} else if err != nil {
-				continue
+			b, err := f.pull("W3", f.source())
+			switch {
+			case err == nil:
+				f.deliver(b)
+			case look:
+				f.deliver(f.watch(lookWait))
 			}
-			f.deliver(b)
 		case <-back:
 			if !look {
 				return
@@ -211,37 +216,44 @@
 
 // fetch lists the kind, or waits for its changes. A hint shortens the wait.
 func (f *follower) fetch() batch {
-	b := batch{kind: f.kind, full: f.since == 0}
+	if f.since == 0 {
+		return f.list()
+	}
 	wait := f.c.watchWait()
 	select {
 	case <-f.hint:
 		if f.fails > 0 {
-			if pulled, err := f.pull(f.source()); err == nil {
-				return pulled
+			if b, err := f.pull("W3", f.source()); err == nil {
+				return b
 			}
 		}
-		wait = time.Millisecond
+		wait = lookWait
 	default:
 	}
-	if !f.sure {
-		wait = time.Millisecond
-	}
-	limit := callTimeout
-	if !b.full {
-		limit += wait
+	if !f.confirmed {
+		wait = lookWait
 	}
-	ctx, cancel := context.WithTimeout(f.c.ctx, limit)
+	return f.watch(wait)
+}
+
+// list reads the whole kind (F1, F4).
+func (f *follower) list() batch {
+	ctx, cancel := context.WithTimeout(f.c.ctx, callTimeout)
 	defer cancel()
-	if b.full {
-		f.sure = f.gone
-		list := f.c.e.opt.Store.ListStale
-		if f.gone {
-			list = f.c.e.opt.Store.List
-		}
-		b.objects, b.version, b.err = list(ctx, f.kind)
-		b.unsure = !f.sure
-		return b
+	list := f.c.e.opt.Store.ListStale
+	if f.historyGone {
+		list = f.c.e.opt.Store.List
 	}
+	f.confirmed = f.historyGone
+	b := batch{kind: f.kind, full: true, unconfirmed: !f.confirmed}
+	b.objects, b.version, b.err = list(ctx, f.kind)
+	return b
+}
+
+// watch waits for changes. A hint cuts it short (F2).
+func (f *follower) watch(wait time.Duration) batch {
+	ctx, cancel := context.WithTimeout(f.c.ctx, callTimeout+wait)
+	defer cancel()
 	over := make(chan struct{})
 	defer close(over)
 	go func() {
@@ -252,6 +264,7 @@
 		case <-over:
 		}
 	}()
+	b := batch{kind: f.kind}
 	b.objects, b.version, b.err = f.c.e.opt.Store.Watch(ctx, f.kind, f.since, wait)
 	if b.err != nil && len(f.hint) > 0 {
 		b.err, b.cut = nil, true // the store did not fail
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -107,7 +107,7 @@
 // beat sends the own beat and those known to some other VMs.
 func (c *control) beat() {
 	now := c.e.now()
-	beats := c.presence.Tick(now, dgpresence.Report{Serving: c.e.serving(), Away: len(c.lostKind) > 0, Seen: c.seen})
+	beats := c.presence.Tick(now, dgpresence.Report{Serving: c.e.serving(), StoreFailing: len(c.lostKind) > 0, Seen: c.seen})
 	if c.udp == nil {
 		return
 	}
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -20,8 +20,8 @@
 const (
 	// changesPath is the path at which a VM passes on what it has read.
 	changesPath = "/changes"
-	// pullTimeout bounds one pull: some round trips between zones and
-	// the turn of a process that shares its processor.
+	// pullTimeout bounds one pull: some round trips between zones and the turn of a
+	// process that shares its processor.
 	pullTimeout = 500 * time.Millisecond
 	// changesMost bounds an answer: the registrations of some ten thousand replicas.
 	changesMost = 16 << 20
@@ -36,8 +36,8 @@
 		return
 	}
 	s, ok := e.mirror.Since(kind, dandeliongap.Version(since))
-	if !ok {
-		ctx.Error("nothing of this kind was read yet", http.StatusServiceUnavailable)
+	if !ok || !e.view.Load().ready { // what it has read may be old (F4)
+		ctx.Error("not all control state is confirmed yet", http.StatusServiceUnavailable)
 		return
 	}
 	body, err := json.Marshal(s)
@@ -50,20 +50,21 @@
 	ctx.SetBody(body)
 }
 
-// pull gets what changed since the follower's own state from a VM (W3).
-func (f *follower) pull(addr string) (batch, error) {
+// pull gets what changed since the follower's own state from a VM, for a rule of
+// dgwatch.
+func (f *follower) pull(rule, addr string) (batch, error) {
 	if addr == "" {
 		return batch{}, fmt.Errorf("changes of %s: no VM to pull from: %w", f.kind, dandeliongap.ErrUnreachable)
 	}
 	s, err := f.c.pull(addr, f.kind, f.since)
 	if err != nil {
 		f.c.e.stats.add("PullsFailed")
-		f.c.e.log.event("pull failed").Str("Rule", "W3").Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).Err(err).Send()
+		f.c.e.log.event("pull failed").Str("Rule", rule).Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).Err(err).Send()
 		return batch{}, err
 	}
 	f.c.e.stats.add("Pulls")
 	if len(s.Objects) > 0 {
-		f.c.e.log.event("changes pulled").Str("Rule", "W3").Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).
+		f.c.e.log.event("changes pulled").Str("Rule", rule).Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).
 			Uint64("Version", uint64(s.Version)).Bool("Full", s.Full).Int("Objects", len(s.Objects)).Send()
 	}
 	return batch{kind: f.kind, pulled: true, full: s.Full, objects: s.Objects, version: s.Version}, nil
--- a/dgedge/role.go
+++ b/dgedge/role.go
@@ -11,26 +11,26 @@
 // updateRole decides the role of this VM anew, and what is known of the store
 // through the VMs that read it.
 func (c *control) updateRole(now dandeliongap.Instant) {
-	present := []dgwatch.Peer{{VM: c.e.opt.Settings.VM, Away: len(c.lostKind) > 0}}
+	present := []dgwatch.Peer{{VM: c.e.opt.Settings.VM, StoreFailing: len(c.lostKind) > 0}}
 	for _, b := range c.presence.Others(now) {
-		present = append(present, dgwatch.Peer{VM: b.VM, Away: b.Away})
+		present = append(present, dgwatch.Peer{VM: b.VM, StoreFailing: b.StoreFailing})
 	}
 	role := dgwatch.RoleOf(c.e.opt.Settings.VM, present)
 	if old := c.role(); old != role {
 		c.roleNow.Store(int32(role))
-		c.e.log.event("role changed").Str("Rule", "W1").Stringer("From", old).Stringer("To", role).Int("Present", len(present)).Bool("Away", len(c.lostKind) > 0).Send()
+		c.e.log.event("role changed").Str("Rule", "W1").Stringer("From", old).Stringer("To", role).Int("Present", len(present)).Bool("StoreFailing", len(c.lostKind) > 0).Send()
 	}
-	away := role == dgwatch.Puller && dgwatch.StoreAway(present)
+	failing := role == dgwatch.Puller && dgwatch.StoreFailing(present)
 	switch {
-	case away && !c.readersAway:
+	case failing && !c.readersFailing:
 		c.catalog.Lost()
-		c.e.log.event("store lost").Str("Rule", "W2").Str("Kind", "all, by the VMs that read").Send()
-	case !away && c.readersAway:
+		c.e.log.event("store lost").Str("Rule", "W2").Str("Kind", "all").Str("By", "readers").Send()
+	case !failing && c.readersFailing:
 		c.catalog.Regained(now)
-		c.e.log.event("store regained").Str("Rule", "W2").Str("Kind", "all, by the VMs that read").Send()
+		c.e.log.event("store regained").Str("Rule", "W2").Str("Kind", "all").Str("By", "readers").Send()
 	}
-	c.readersAway = away
-	if role == dgwatch.Puller && !away {
+	c.readersFailing = failing
+	if role == dgwatch.Puller && !failing {
 		c.heard = now
 	}
 }
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -31,6 +31,9 @@
 	relayBeats  = 2
 	// knownFor is the age of the last beat up to which a VM counts for the size.
 	knownFor = 10 * time.Second
+	// forgetAfter is the same up to which it is kept: VMs are replaced by others with
+	// new names all the time.
+	forgetAfter = 10 * time.Minute
 )
 
 // BeatEvery is the time between two beats.
@@ -42,7 +45,8 @@
 	Boot    int64 // Unix nanoseconds of the start of the process
 	Count   uint64
 	Serving bool // accepts new callers
-	Away    bool `json:",omitempty"` // its calls to the store fail
+	// StoreFailing: its calls to the store fail.
+	StoreFailing bool `json:",omitempty"`
 	// Seen has the newest change of each kind of control state that is in force.
 	Seen map[string]dandeliongap.Version `json:",omitempty"`
 }
@@ -67,9 +71,9 @@
 
 // Report is what a VM says of itself with a beat.
 type Report struct {
-	Serving bool
-	Away    bool
-	Seen    map[string]dandeliongap.Version
+	Serving      bool
+	StoreFailing bool
+	Seen         map[string]dandeliongap.Version
 }
 
 // Tick counts the own beat up and returns what to send: the own beat first, then
@@ -82,13 +86,16 @@
 	}
 	v.last = now
 	v.size = 1
-	for _, p := range v.peers {
-		if now.Sub(p.heard) <= knownFor {
+	for vm, p := range v.peers {
+		switch age := now.Sub(p.heard); {
+		case age <= knownFor:
 			v.size++
+		case age > forgetAfter:
+			delete(v.peers, vm)
 		}
 	}
 	v.self.Count++
-	v.self.Serving, v.self.Away = own.Serving, own.Away
+	v.self.Serving, v.self.StoreFailing = own.Serving, own.StoreFailing
 	v.self.Seen = maps.Clone(own.Seen)
 	return append([]Beat{v.self}, v.Others(now)...)
 }
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -61,6 +61,14 @@
 		Expect(alive(6 * time.Second)).To(BeTrue())
 		Expect(alive(8 * time.Second)).To(BeFalse())
 	})
+	It("forgets a VM that was lost for long (guards against memory that grows with each replaced VM)", func() {
+		v.Hear(at(0), beat(1, 1))
+		for now := time.Duration(0); now <= time.Hour; now += dgpresence.BeatEvery {
+			v.Tick(at(now), dgpresence.Report{})
+		}
+		_, heard := v.Age(at(time.Hour), "b")
+		Expect(heard).To(BeFalse())
+	})
 	It("takes no beat of itself from others", func() {
 		v.Hear(at(0), []dgpresence.Beat{{VM: "a", Boot: 9, Count: 9}, {}})
 		Expect(v.Tick(at(0), dgpresence.Report{Serving: true})).To(HaveLen(1))
--- a/dgwatch/dgwatch.go
+++ b/dgwatch/dgwatch.go
@@ -8,7 +8,8 @@
 //	    others pull changes from VMs that have them.
 //	W2  VMs whose calls to the store fail are passed over, so that as many others
 //	    read. Of those that fail, the first Readers by rank go on trying; the others
-//	    try again now and then.
+//	    try again now and then. While all of the first Readers fail, the VMs that
+//	    pull take the store as failing too: the others that read may not have noticed.
 //	W3  A VM that knows of a newer change than its own pulls all changes since its own
 //	    state from a VM that has it. If no VM answers, it looks at the store itself.
 //	W4  Changes since a version are passed on only if none after it is missing,
@@ -31,8 +32,8 @@
 
 // Peer is a VM that is present.
 type Peer struct {
-	VM   dandeliongap.VMName
-	Away bool // its calls to the store fail
+	VM           dandeliongap.VMName
+	StoreFailing bool // its calls to the store fail
 }
 
 // Role is what a VM does about the store.
@@ -53,21 +54,17 @@
 // RoleOf returns the role of a VM among all that are present, itself included (W1,
 // W2).
 func RoleOf(self dandeliongap.VMName, present []Peer) Role {
-	ranked := slices.Clone(present)
-	slices.SortFunc(ranked, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(rank(a.VM), rank(b.VM)), cmp.Compare(a.VM, b.VM))
-	})
-	sound := 0
-	for i, p := range ranked {
-		chosen := i < Readers || !p.Away && sound < Readers
-		if !p.Away {
-			sound++
+	healthy := 0
+	for i, p := range byRank(present) {
+		chosen := i < Readers || !p.StoreFailing && healthy < Readers
+		if !p.StoreFailing {
+			healthy++
 		}
 		switch {
 		case p.VM != self:
 		case chosen:
 			return Reader
-		case p.Away:
+		case p.StoreFailing:
 			return Retrier
 		default:
 			return Puller
@@ -76,14 +73,19 @@
 	return Reader
 }
 
-// StoreAway tells whether every VM that should read the store fails to.
-func StoreAway(present []Peer) bool {
-	for _, p := range present {
-		if !p.Away && RoleOf(p.VM, present) == Reader {
-			return false
-		}
-	}
-	return len(present) > 0
+// StoreFailing tells whether the store fails for all of the first Readers (W2).
+func StoreFailing(present []Peer) bool {
+	first := byRank(present)[:min(len(present), Readers)]
+	return len(first) > 0 && !slices.ContainsFunc(first, func(p Peer) bool { return !p.StoreFailing })
+}
+
+// byRank returns the VMs in an order that all work out alike.
+func byRank(present []Peer) []Peer {
+	ranked := slices.Clone(present)
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(rank(a.VM), rank(b.VM)), cmp.Compare(a.VM, b.VM))
+	})
+	return ranked
 }
 
 func rank(vm dandeliongap.VMName) uint64 { return xxhash.Sum64String(string(vm)) }
--- a/dgwatch/mirror.go
+++ b/dgwatch/mirror.go
@@ -34,13 +34,16 @@
 	removals []dandeliongap.Object // oldest first
 }
 
-// Take adds what was read. Objects without a name cannot be told from each other
-// and are left out.
-func (m *Mirror) Take(kind string, s State) {
+// Apply adds what was read. Changes of a kind without a whole state, and objects
+// without a name, which cannot be distinguished, are left out.
+func (m *Mirror) Apply(kind string, s State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kinds[kind]
-	if k == nil || s.Full {
+	if k == nil && !s.Full {
+		return
+	}
+	if s.Full {
 		k = &mirrored{floor: s.Version, objects: make(map[dandeliongap.ObjectName]dandeliongap.Object)}
 		if m.kinds == nil {
 			m.kinds = make(map[string]*mirrored)
