--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -25,7 +25,8 @@
 // the next beats make up for those that are dropped.
 const beatsQueue = 64
 
-// batch is what one answer of the store brought, or that it brought none.
+// batch is what one answer of the store or of another VM brought, or that it brought
+// none.
 type batch struct {
 	kind        string
 	full        bool // the whole collection
@@ -67,7 +68,7 @@
 	followers map[string]*follower
 	seen      map[string]dandeliongap.Version // newest change of a kind that is in force here
 	complete  map[string]dandeliongap.Version // all changes of a kind up to here are in force
-	others    map[string]dandeliongap.Version // the same at other VMs
+	others    map[string]dandeliongap.Version // newest change that another VM has
 	behind    map[string]dandeliongap.Instant // since when others have more
 	present   atomic.Int64                    // other VMs that are alive
 	roleNow   atomic.Int32                    // a dgwatch.Role
@@ -76,7 +77,7 @@
 	// calls fail.
 	readersFailing bool
 	careful        atomic.Int64 // instant until which watches wait shortly
-	settled        atomic.Int64 // instant until which lapsed registrations come back
+	settling       atomic.Int64 // instant until which lapsed registrations come back
 
 	backMu sync.Mutex
 	back   chan struct{} // closed when the store has answered
@@ -159,7 +160,7 @@
 	}
 }
 
-// apply takes in an answer of the store.
+// apply takes in an answer of the store or of another VM.
 func (c *control) apply(b batch) {
 	now := c.e.now()
 	if b.err != nil {
@@ -249,7 +250,7 @@
 	c.catalog.Regained(now)
 	if c.lostKind[kind] {
 		c.e.log.event("store regained").Str("Kind", kind).Dur("Age", now.Sub(c.heard)).Send()
-		c.settled.Store(int64(now.Add(settleFor)))
+		c.settling.Store(int64(now.Add(settleFor)))
 	}
 	delete(c.lostKind, kind)
 	c.heard = now
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -93,6 +93,9 @@
 	confirmed bool
 	// from has the addresses of VMs that have newer changes.
 	from atomic.Pointer[[]string]
+	// failedFrom is the address from which the last pull failed; "" after one that
+	// did not.
+	failedFrom string
 }
 
 func (f *follower) run() {
@@ -112,7 +115,7 @@
 		}
 		if !b.unconfirmed {
 			now := f.c.e.now()
-			f.c.sleep(waitAfter(f.kind, len(b.objects), now.Sub(begin), int64(now) < f.c.settled.Load()))
+			f.c.sleep(waitAfter(f.kind, len(b.objects), now.Sub(begin), int64(now) < f.c.settling.Load()))
 		}
 	}
 }
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -59,9 +59,13 @@
 	s, err := f.c.pull(addr, f.kind, f.since)
 	if err != nil {
 		f.c.e.stats.add("PullsFailed")
-		f.c.e.log.event("pull failed").Str("Rule", rule).Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).Err(err).Send()
+		if addr != f.failedFrom { // repeated several times a second in an outage
+			f.c.e.log.event("pull failed").Str("Rule", rule).Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).Err(err).Send()
+		}
+		f.failedFrom = addr
 		return batch{}, err
 	}
+	f.failedFrom = ""
 	f.c.e.stats.add("Pulls")
 	if len(s.Objects) > 0 {
 		f.c.e.log.event("changes pulled").Str("Rule", rule).Str("Kind", f.kind).Str("Address", addr).Uint64("Since", uint64(f.since)).
--- a/dgplot/dgplot.go
+++ b/dgplot/dgplot.go
@@ -123,8 +123,8 @@
 			value  func(dandeliongap.Served) float64
 			dashed bool
 		}{
-			{"median", func(s dandeliongap.Served) float64 { return ms(s.MedianLatency) }, false},
-			{"p99", func(s dandeliongap.Served) float64 { return ms(s.HighLatency) }, true},
+			{"median", func(s dandeliongap.Served) float64 { return ms(s.P50) }, false},
+			{"p99", func(s dandeliongap.Served) float64 { return ms(s.P99) }, true},
 		} {
 			xys, err := series(r.Report.Spans, line.value)
 			if err != nil {
--- a/dgplot/dgplot_test.go
+++ b/dgplot/dgplot_test.go
@@ -14,7 +14,7 @@
 
 func run(name string, worth float64) dgplot.Run {
 	span := func(begin string) dandeliongap.Served {
-		return dandeliongap.Served{Name: begin, Requests: 10, InTime: 9, Worth: worth, MedianLatency: 40 * time.Millisecond, HighLatency: time.Second}
+		return dandeliongap.Served{Name: begin, Requests: 10, InTime: 9, Worth: worth, P50: 40 * time.Millisecond, P99: time.Second}
 	}
 	return dgplot.Run{Name: name, Report: dandeliongap.RunReport{
 		Worth: worth, Spans: []dandeliongap.Served{span("0"), span("2"), span("4")}, Routes: []dandeliongap.Served{span("search"), span("fetch")},
--- a/served.go
+++ b/served.go
@@ -6,8 +6,8 @@
 type Served struct {
 	Name                                     string
 	Requests, InTime, Late, NotRun, Unserved int
-	Worth                                    float64 // what callers got, as a share of what they were owed
-	MedianLatency, HighLatency               time.Duration
+	Worth                                    float64       // what callers got, as a share of what they were owed
+	P50, P99                                 time.Duration // latency
 }
 
 // RunReport tells how callers were served in one run.
