Heed leaving replicas and their pauses, and bound what their responses take

Cause: a replica that says in a response that it is leaving, or that asks with 503 and Retry-After for a pause, was asked again. A chunked response whose connection ended before the empty line after the last chunk counted as whole. The bodies of responses were bounded each (8 MB), not together. Change: rules R9 and R10 of dgbalance, A5 of dgadmit; bodies are read into memory that is reserved as bytes arrive, 32 MB for all; results that arrive after the end of their request are released; of a part only the records that can be in the response are kept.

--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -16,11 +16,14 @@
 //	    refused at once. This keeps load off the backend servers when the replicas of
 //	    a service are all down: no sub-request is sent whose answer could not be used.
 //	    The Retry-After is longer if replicas are not just down but not registered.
+//	A5  If replicas have asked for a pause, the Retry-After under A4 is not before
+//	    enough of the pauses are over.
 package dgadmit
 
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -86,6 +89,20 @@
 	}
 }
 
+// NotBefore raises the Retry-After of a refusal under A4 to the time at which enough
+// services are usable (A5). waits holds, for each service that is down, the time until
+// it is usable.
+func (r Refusal) NotBefore(waits []time.Duration, usable, total int, minCoverage float64) Refusal {
+	slices.Sort(waits)
+	for i, wait := range waits {
+		if n := usable + i + 1; float64(n) >= minCoverage*float64(total) {
+			r.RetryAfter = max(r.RetryAfter, wait)
+			break
+		}
+	}
+	return r
+}
+
 // Invalid refuses a request that breaks the protocol (A0).
 func Invalid(text string) Refusal {
 	return Refusal{http.StatusBadRequest, "A0", "Invalid", text, 0}
--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -31,6 +31,14 @@
 		Expect(dgadmit.CheckCoverage(17, 3, 20, 0.89).RetryAfter).To(Equal(250 * time.Millisecond))
 		Expect(dgadmit.CheckCoverage(17, 0, 20, 0.89).RetryAfter).To(Equal(time.Second))
 	})
+	It("A5: set a Retry-After at which enough replicas accept requests again (otherwise callers would spend their only retry within a pause)", func() {
+		waits := func() []time.Duration { return []time.Duration{5 * time.Second, time.Second, 3 * time.Second} }
+		r := dgadmit.CheckCoverage(17, 3, 20, 0.89)
+		Expect(r.NotBefore(waits(), 17, 20, 0.89).RetryAfter).To(Equal(time.Second))
+		Expect(dgadmit.CheckCoverage(17, 3, 20, 0.95).NotBefore(waits(), 17, 20, 0.95).RetryAfter).To(Equal(3 * time.Second))
+		Expect(r.NotBefore(nil, 17, 20, 0.89).RetryAfter).To(Equal(r.RetryAfter))
+		Expect(r.NotBefore([]time.Duration{time.Millisecond}, 17, 20, 0.89).RetryAfter).To(Equal(r.RetryAfter))
+	})
 	It("A1: set a longer Retry-After in a longer outage (otherwise callers would spend their only retry within it)", func() {
 		Expect(dgadmit.Unready(0).RetryAfter).To(Equal(200 * time.Millisecond))
 		Expect(dgadmit.Unready(time.Second).RetryAfter).To(Equal(time.Second))
--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -1,9 +1,7 @@
 package dgbackend
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -43,6 +41,7 @@
 	ExpectedInstance string // the only instance that may run the request
 	NotRun           string // present in responses to requests that did not run
 	ServerStamp      string // present in responses of a backend server
+	Leaving          string // present in responses of a backend server that is leaving
 }
 
 // ForwardRequest is a request that can be sent to any replica of a service. It is
@@ -78,8 +77,24 @@
 // Reply is the result of one attempt.
 type Reply struct {
 	Kind ReplyKind
-	Resp *fasthttp.Response // set for ReplyAnswered; the receiver must release it
+	Resp *fasthttp.Response // set for ReplyAnswered, until Release
 	Err  error              // why there is no response; may be nil
+
+	Leaving        bool          // the instance is leaving and wants no more requests
+	RetryAfter     time.Duration // time for which the instance wants no request; 0: none stated
+	RetryAfterText string        // header from which RetryAfter was parsed, for the log
+
+	body bodyReader
+}
+
+// Release frees the response. It must be called once for every reply, after the last
+// use of Resp.
+func (r *Reply) Release() {
+	if r.Resp != nil {
+		fasthttp.ReleaseResponse(r.Resp)
+		r.Resp = nil
+	}
+	r.body.release()
 }
 
 // Call lets another goroutine cancel one attempt. The zero value is ready for use.
@@ -134,7 +149,8 @@
 // Forwarder sends complete requests to backend servers over persistent connections.
 // It is safe for concurrent use.
 type Forwarder struct {
-	names HeaderNames
+	names  HeaderNames
+	memory memoryPool // of response bodies
 
 	mu     sync.Mutex
 	idle   map[dandeliongap.InstanceID]*idleConns
@@ -146,7 +162,7 @@
 
 // NewForwarder returns a forwarder. It opens no connection before the first request.
 func NewForwarder(names HeaderNames) *Forwarder {
-	return &Forwarder{names: names, idle: make(map[dandeliongap.InstanceID]*idleConns)}
+	return &Forwarder{names: names, memory: memoryPool{limit: MaxResponseMemory}, idle: make(map[dandeliongap.InstanceID]*idleConns)}
 }
 
 // ForwardStats holds counters of a Forwarder since its creation. Dials counts attempts
@@ -198,19 +214,18 @@
 		f.addIdle(in.ID, cn, nil)
 		return Reply{Kind: ReplyNotSent, Err: fmt.Errorf("attempt cancelled before the request was sent: %w", dandeliongap.ErrNotRun)}
 	}
-	resp := fasthttp.AcquireResponse()
-	kind, reuse, err := f.exchange(cn, in, req, resp, deadline)
+	reply := Reply{Resp: fasthttp.AcquireResponse(), body: bodyReader{pool: &f.memory}}
+	reuse := f.exchange(cn, in, req, &reply, deadline)
 	cancelled := call.detach()
-	if err != nil || !reuse || cancelled {
+	if reply.Err != nil || !reuse || cancelled {
 		_ = cn.tcp.Close()
 	} else {
-		f.addIdle(in.ID, cn, resp)
+		f.addIdle(in.ID, cn, reply.Resp)
 	}
-	if kind == ReplyAnswered {
-		return Reply{Kind: kind, Resp: resp}
+	if reply.Kind != ReplyAnswered {
+		reply.Release()
 	}
-	fasthttp.ReleaseResponse(resp)
-	return Reply{Kind: kind, Err: err}
+	return reply
 }
 
 // acquire returns a usable idle connection or dials a new one. It closes the idle
@@ -302,15 +317,17 @@
 	return defaultIdleTimeout
 }
 
-// exchange writes the request and reads the response. It reports whether the
+// exchange writes the request and reads the response into reply. It reports whether the
 // connection may carry another request.
-func (f *Forwarder) exchange(cn *conn, in *dandeliongap.Instance, req *ForwardRequest, resp *fasthttp.Response, deadline time.Time) (kind ReplyKind, reuse bool, err error) {
+func (f *Forwarder) exchange(cn *conn, in *dandeliongap.Instance, req *ForwardRequest, reply *Reply, deadline time.Time) (reuse bool) {
 	left := time.Until(deadline)
 	if left <= 0 {
-		return ReplyNotSent, true, fmt.Errorf("deadline passed before the request was sent: %w", dandeliongap.ErrNotRun)
+		reply.Kind, reply.Err = ReplyNotSent, fmt.Errorf("deadline passed before the request was sent: %w", dandeliongap.ErrNotRun)
+		return false
 	}
 	if err := cn.tcp.SetDeadline(deadline.Add(deadlineGrace)); err != nil {
-		return ReplyNotSent, false, err
+		reply.Kind, reply.Err = ReplyNotSent, err
+		return false
 	}
 	written := make(chan error, 1)
 	before := cn.written
@@ -319,23 +336,23 @@
 		go func() { written <- f.writeBody(cn, req) }()
 	} else {
 		if err := f.writeBody(cn, req); err != nil {
+			reply.Kind, reply.Err = ReplyUnknown, err
 			if cn.written == before {
-				return ReplyNotSent, false, err
+				reply.Kind = ReplyNotSent
 			}
-			return ReplyUnknown, false, err
+			return false
 		}
 		written <- nil
 	}
-	kind, reusable, err := f.readResponse(cn, req, resp)
+	reuse = f.readResponse(cn, req, reply)
 	select {
-	case werr := <-written:
-		reusable = reusable && werr == nil
+	case err := <-written:
+		return reuse && err == nil
 	default: // the response arrived before the body was written
-		reusable = false
 		_ = cn.tcp.SetDeadline(time.Unix(1, 0))
 		<-written
+		return false
 	}
-	return kind, reusable, err
 }
 
 func (f *Forwarder) writeHead(cn *conn, in *dandeliongap.Instance, req *ForwardRequest, left time.Duration) {
@@ -362,26 +379,33 @@
 // maxMismatchedResponses of them. It reports whether the connection may carry another
 // request. A response without a request ID counts as the response to req if it says
 // that the request did not run, or if its status is 300 or above.
-func (f *Forwarder) readResponse(cn *conn, req *ForwardRequest, resp *fasthttp.Response) (kind ReplyKind, reuse bool, err error) {
+func (f *Forwarder) readResponse(cn *conn, req *ForwardRequest, reply *Reply) (reuse bool) {
 	reuse = true
 	for range maxMismatchedResponses {
+		resp := reply.Resp
 		resp.Reset()
-		framed, err := cn.receiveForward(resp, req.NoBody)
+		reply.body.release()
+		framed, err := cn.receiveForward(resp, req.NoBody, &reply.body)
 		if err != nil {
 			f.count(&f.broken)
-			return ReplyUnknown, false, err
+			reply.Kind, reply.Err = ReplyUnknown, err
+			return false
 		}
 		echo := string(resp.Header.Peek(f.names.RequestID))
 		status := resp.StatusCode()
 		notRun := len(resp.Header.Peek(f.names.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest
 		if echo == req.ID || echo == "" && (notRun || status >= 300) {
-			switch {
-			case status == fasthttp.StatusMisdirectedRequest:
-				return ReplyWrongInstance, false, nil
-			case notRun:
-				return ReplyNotRun, reuse && cn.reusable(resp), nil
+			if status == fasthttp.StatusMisdirectedRequest {
+				reply.Kind = ReplyWrongInstance
+				return false
 			}
-			return ReplyAnswered, reuse && framed && cn.reusable(resp), nil
+			f.readHints(reply, resp)
+			if notRun {
+				reply.Kind = ReplyNotRun
+				return reuse && cn.reusable(resp)
+			}
+			reply.Kind = ReplyAnswered
+			return reuse && framed && cn.reusable(resp)
 		}
 		f.count(&f.broken)
 		reuse = false
@@ -389,37 +413,6 @@
 			break
 		}
 	}
-	return ReplyUnknown, false, fmt.Errorf("received only responses to other requests: %w", errBroken)
+	reply.Kind, reply.Err = ReplyUnknown, fmt.Errorf("received only responses to other requests: %w", errBroken)
+	return false
 }
-
-// receiveForward reads one complete response. framed is false if the response has
-// no length and is delimited by the end of the connection.
-func (c *conn) receiveForward(resp *fasthttp.Response, noBody bool) (framed bool, err error) {
-	if err := resp.Header.Read(c.br); err != nil {
-		return false, headerError(err)
-	}
-	status := resp.StatusCode()
-	if status < firstFinalStatus {
-		return false, errBroken
-	}
-	if noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return true, nil
-	}
-	length := resp.Header.ContentLength()
-	if err := resp.ReadBody(c.br, maxForwardResponseBytes); err != nil {
-		return false, wrapBroken(err)
-	}
-	if length == lengthChunked {
-		if err := resp.Header.ReadTrailer(c.br); err != nil && !errors.Is(err, io.EOF) {
-			return false, wrapBroken(err)
-		}
-	}
-	return length != lengthIdentity, nil
-}
-
-// lengthChunked is the content length that fasthttp reports for a chunked body.
-const lengthChunked = -1
-
-// maxForwardResponseBytes limits the body of a response, so that a faulty backend
-// server cannot exhaust the memory of a VM.
-const maxForwardResponseBytes = 8 << 20
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -16,10 +16,9 @@
 	"dandeliongap.example/dandeliongap/dgbackend"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/valyala/fasthttp"
 )
 
-var forwardNames = dgbackend.HeaderNames{RequestID: "Id", Deadline: "Left-Ms", ExpectedInstance: "For", NotRun: "Not-Run", ServerStamp: "Stamp"}
+var forwardNames = dgbackend.HeaderNames{RequestID: "Id", Deadline: "Left-Ms", ExpectedInstance: "For", NotRun: "Not-Run", ServerStamp: "Stamp", Leaving: "Leaving"}
 
 func forwardRequest(id string) *dgbackend.ForwardRequest {
 	return &dgbackend.ForwardRequest{Head: []byte("GET /a/b?c=d HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n"), ID: id, Idempotent: true}
@@ -61,10 +60,10 @@
 	GinkgoHelper()
 	var call dgbackend.Call
 	r := f.Send(&call, in, forwardRequest(id), time.Now().Add(eventTimeout))
+	defer r.Release()
 	if r.Kind != dgbackend.ReplyAnswered {
 		return r.Kind, ""
 	}
-	defer fasthttp.ReleaseResponse(r.Resp)
 	return r.Kind, string(r.Resp.Body())
 }
 
@@ -216,7 +215,7 @@
 			rep := f.Send(&call, in, req, time.Now().Add(eventTimeout))
 			Expect(rep.Kind).To(Equal(dgbackend.ReplyAnswered))
 			Expect(rep.Resp.StatusCode()).To(Equal(413))
-			fasthttp.ReleaseResponse(rep.Resp)
+			rep.Release()
 		}
 		Expect(accepted.Load()).To(BeEquivalentTo(2))
 	})
@@ -265,7 +264,7 @@
 		if rep.Kind != dgbackend.ReplyAnswered {
 			return
 		}
-		defer fasthttp.ReleaseResponse(rep.Resp)
+		defer rep.Release()
 		if rep.Resp.StatusCode() < 300 && string(rep.Resp.Header.Peek("Id")) != "1" {
 			t.Fatalf("returned a response without the ID of the request: %q", raw)
 		}
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -30,6 +30,10 @@
 //	R8  A replica whose address is used by another instance counts as gone. Requests
 //	    to that address would only load the service that has it now. The replica is
 //	    tried again after WrongInstanceBackoff.
+//	R9  A replica that said in a response that it is leaving gets no more requests,
+//	    whatever its registration says, until another process registers under its ID.
+//	R10 A replica that asked in a response for a pause gets no request before the
+//	    pause is over, not even a probe.
 package dgbalance
 
 import (
@@ -124,6 +128,8 @@
 	WentDown                 // connections to the replica fail (R5)
 	Recovered                // the replica can be reached again after WentDown
 	AddressReassigned        // another instance uses the replica's address (R8)
+	StartedLeaving           // the replica said that it is leaving (R9)
+	Paused                   // the replica asked for a pause (R10)
 )
 
 type replica struct {
@@ -143,6 +149,8 @@
 	wrongInstanceUntil dandeliongap.Instant
 	nextProbe          dandeliongap.Instant
 
+	hints *hintState // what the process said about further requests; may be nil
+
 	coldTokens     float64 // token bucket of requests in cold start (R7)
 	coldRefilledAt dandeliongap.Instant
 	coldRate       float64 // requests per second from this VM; 0: no limit
@@ -169,6 +177,7 @@
 	zonesOut       map[dandeliongap.ZoneName]bool
 	typicalLatency map[dandeliongap.RouteName]time.Duration
 	shares         map[dandeliongap.ServiceName]cachedShares
+	hints          map[process]*hintState
 }
 
 // New returns a balancer without replicas, for the VM self.
@@ -179,6 +188,7 @@
 		byID:           make(map[dandeliongap.InstanceID]*replica),
 		typicalLatency: make(map[dandeliongap.RouteName]time.Duration),
 		shares:         make(map[dandeliongap.ServiceName]cachedShares),
+		hints:          make(map[process]*hintState),
 	}
 }
 
@@ -202,6 +212,7 @@
 		b.byID[in.ID] = r
 		b.services[in.Service] = append(b.services[in.Service], r)
 	}
+	b.attachHints(now)
 	for name, rs := range b.services {
 		slices.SortFunc(rs, func(a, b *replica) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
 		b.limitConnections(name, rs, limits[name].Connections, vms)
@@ -284,15 +295,15 @@
 	return best
 }
 
-// eligible reports whether a replica may be used at all (R1, R2).
+// eligible reports whether a replica may be used at all (R1, R2, R9).
 func (b *Balancer) eligible(r *replica) bool {
-	return !r.instance.Draining && !b.zonesOut[r.instance.Zone] && r.maxConnections > 0
+	return !r.instance.Draining && !r.leaving() && !b.zonesOut[r.instance.Zone] && r.maxConnections > 0
 }
 
 // suspended reports whether a replica must not get a request now because of what this
-// VM has observed of it (R5, R6, R8).
+// VM has observed of it (R5, R6, R8, R10).
 func (b *Balancer) suspended(now dandeliongap.Instant, r *replica) bool {
-	if now < r.backoffUntil || now < r.wrongInstanceUntil {
+	if now < r.backoffUntil || now < r.wrongInstanceUntil || now < r.pausedUntil() {
 		return true
 	}
 	if r.backoff > 0 && len(r.startTimes) > 0 {
@@ -312,20 +323,24 @@
 }
 
 // Pick selects a replica for a request and counts the request as in flight there
-// (R1 to R8). It skips the replicas in excluded, and avoids those in failed, which
+// (R1 to R10). It skips the replicas in excluded, and avoids those in failed, which
 // have failed the request before. If no replica is usable, the error is ErrNoReplica
-// and retryAt is the time at which to call Pick again, at most ProbeInterval later.
+// and retryAt is the time at which to call Pick again: at most ProbeInterval later,
+// unless all replicas are paused (R10).
 func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, excluded, failed []dandeliongap.InstanceID) (a Assignment, retryAt dandeliongap.Instant, err error) {
 	var best *replica
 	bestCost := math.Inf(1)
 	candidates := 0
 	retryAt = now.Add(ProbeInterval)
+	if at, ok := b.pauseEnd(now, s, excluded); ok {
+		retryAt = at
+	}
 	for _, r := range b.services[s] {
 		if !b.eligible(r) || slices.Contains(excluded, r.instance.ID) {
 			continue
 		}
 		if b.suspended(now, r) {
-			if r.backoffUntil > now && r.wrongInstanceUntil <= now {
+			if r.backoffUntil > now && r.wrongInstanceUntil <= now && r.pausedUntil() <= now {
 				retryAt = min(retryAt, r.backoffUntil)
 			}
 			continue
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -116,13 +116,30 @@
 	if e.refusing.Load() {
 		return dgadmit.Leaving()
 	}
+	return e.checkCoverage(req)
+}
+
+// checkCoverage refuses a request if too few of the route's shards have usable replicas
+// at the moment.
+func (e *Edge) checkCoverage(req *request) dgadmit.Refusal {
 	var count [dgbalance.Usable + 1]int
+	var waits []time.Duration
+	now := e.now()
 	e.mu.Lock()
 	for _, s := range req.shards {
-		count[e.balancer.Availability(req.arrived, s)]++
+		a := e.balancer.Availability(now, s)
+		count[a]++
+		if at, ok := e.balancer.UsableAt(now, s); ok && a == dgbalance.Down {
+			waits = append(waits, at.Sub(now))
+		}
 	}
 	e.mu.Unlock()
-	return dgadmit.CheckCoverage(count[dgbalance.Usable], count[dgbalance.Down], len(req.shards), req.route.MinCoverage)
+	usable, total := count[dgbalance.Usable], len(req.shards)
+	refusal := dgadmit.CheckCoverage(usable, count[dgbalance.Down], total, req.route.MinCoverage)
+	if refusal.Status == 0 {
+		return refusal
+	}
+	return refusal.NotBefore(waits, usable, total, req.route.MinCoverage)
 }
 
 // connectionHeaders are the headers, in lower case, that are not forwarded because they
--- a/dgedge/log.go
+++ b/dgedge/log.go
@@ -73,3 +73,15 @@
 		}
 	})
 }
+
+// maxLoggedText limits the length in bytes of a text from outside the process in a log
+// line.
+const maxLoggedText = 200
+
+// clip shortens a text from outside the process for a log line.
+func clip(s string) string {
+	if len(s) <= maxLoggedText {
+		return s
+	}
+	return s[:maxLoggedText] + "..."
+}
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -42,19 +42,18 @@
 
 // execution is the state of a request in progress.
 type execution struct {
-	e       *Edge
-	req     *request
-	gather  *dggather.Gather
-	results chan result
-	done    chan struct{} // closed when results is no longer read
+	e      *Edge
+	req    *request
+	gather *dggather.Gather
+	inbox  *inbox
 
 	attempts     []*attempt
-	firstCounted []bool             // by shard: its first request has been counted in the budget
-	parts        [][]byte           // bodies to merge
-	stamps       []string           // stamp header of each part
-	response     *fasthttp.Response // accepted response to a request without shards
-	fallback     *fasthttp.Response // error response of a replica, passed on if no attempt succeeds
-	sends        []dggather.Send    // buffer reused by Step
+	firstCounted []bool          // by shard: its first request has been counted in the budget
+	parts        [][]byte        // bodies to merge
+	stamps       []string        // stamp header of each part
+	response     dgbackend.Reply // accepted response to a request without shards
+	fallback     dgbackend.Reply // error response of a replica, passed on if no attempt succeeds
+	sends        []dggather.Send // buffer reused by Step
 	extras       int
 	noBudget     int // number of times the budget did not allow an extra request
 	verdict      dggather.Verdict
@@ -69,12 +68,11 @@
 	ex := &execution{
 		e: e, req: req,
 		gather:       dggather.New(dggather.Options{Route: req.route, Shards: req.shards, Arrived: req.arrived, Deadline: req.deadline, TypicalLatency: typical}),
-		results:      make(chan result, 2*len(req.shards)),
-		done:         make(chan struct{}),
+		inbox:        newInbox(),
 		firstCounted: make([]bool, len(req.shards)),
 	}
 	disconnected := !ex.loop(active)
-	close(ex.done)
+	ex.inbox.close()
 	switch {
 	case disconnected:
 		if req.route.Idempotent {
@@ -110,8 +108,10 @@
 		}
 		t.Reset(max(0, wake.Sub(now)))
 		select {
-		case r := <-ex.results:
-			ex.handleResult(r)
+		case <-ex.inbox.arrived:
+			for _, r := range ex.inbox.take() {
+				ex.handleResult(r)
+			}
 		case <-t.C:
 		case <-active.disconnected:
 			return false
@@ -170,19 +170,15 @@
 	}
 	now := e.now()
 	e.mu.Lock()
+	hint := e.balancer.Heed(now, &a.assignment.Instance, dgbalance.Hints{Leaving: reply.Leaving, RetryAfter: reply.RetryAfter})
 	change := e.balancer.Done(now, ex.req.route.Name, &a.assignment, ex.classify(&reply, now))
 	if reply.Kind == dgbackend.ReplyNotSent && a.extra {
 		e.budget.Release(a.assignment.Start, ex.req.shards[a.shard])
 	}
 	e.mu.Unlock()
 	e.logReplicaChange(change, a, &reply)
-	select {
-	case ex.results <- result{a, reply}:
-	case <-ex.done:
-		if reply.Resp != nil {
-			fasthttp.ReleaseResponse(reply.Resp)
-		}
-	}
+	e.logReplicaChange(hint, a, &reply)
+	ex.inbox.put(result{a, reply})
 }
 
 // logReplicaChange logs that the outcome of an attempt changed the state of its replica.
@@ -195,11 +191,16 @@
 		msg, rule = "replica back", "R5"
 	case dgbalance.AddressReassigned:
 		msg, rule = "replica moved", "R8"
+	case dgbalance.StartedLeaving:
+		msg, rule = "replica leaving", "R9"
+	case dgbalance.Paused:
+		msg, rule = "replica paused", "R10"
 	default:
 		return
 	}
 	e.log.event(msg).Str("Rule", rule).Str("Service", string(a.assignment.Instance.Service)).Str("Replica", string(a.assignment.Instance.ID)).
-		Str("Address", a.assignment.Instance.Address).AnErr("Why", reply.Err).Send()
+		Str("Address", a.assignment.Instance.Address).AnErr("Why", reply.Err).Dur("RetryAfter", reply.RetryAfter).
+		Str("RetryAfterText", clip(reply.RetryAfterText)).Send()
 }
 
 // classify maps a reply to the result that the balancer records for the replica.
@@ -240,7 +241,7 @@
 	case ex.usable(r.reply.Resp):
 		ex.accept(r)
 	default:
-		ex.keepFallback(r.reply.Resp)
+		ex.keepFallback(r.reply)
 		ex.attemptFailed(now, r, true, true)
 	}
 }
@@ -269,29 +270,31 @@
 
 // accept stores a usable response if its shard still needs one.
 func (ex *execution) accept(r result) {
-	resp := r.reply.Resp
 	if !ex.gather.PartReceived(r.attempt.shard) {
-		fasthttp.ReleaseResponse(resp)
+		r.reply.Release()
 		return
 	}
 	if !ex.req.sharded() {
-		ex.response = resp
+		ex.response = r.reply
 		return
 	}
-	ex.parts = append(ex.parts, append([]byte(nil), resp.Body()...))
+	resp := r.reply.Resp
+	// Only the greatest records of a part can be in the response: the rest is not kept.
+	ex.parts = append(ex.parts, dggather.Merge([][]byte{resp.Body()}, ex.req.route.TopK))
 	ex.stamps = append(ex.stamps, string(resp.Header.Peek(ex.e.opt.Dialect.Backend.ServerStamp)))
-	fasthttp.ReleaseResponse(resp)
+	r.reply.Release()
 }
 
 // keepFallback keeps the first error response of a replica to a request without shards.
 // The caller gets it if no attempt succeeds. Responses without a stamp, or whose status
 // implies that the request did not run, are not kept.
-func (ex *execution) keepFallback(resp *fasthttp.Response) {
-	if ex.req.sharded() || ex.fallback != nil || impliesNotRun(resp.StatusCode()) || len(resp.Header.Peek(ex.e.opt.Dialect.Backend.ServerStamp)) == 0 || resp.StatusCode()/100 == 2 {
-		fasthttp.ReleaseResponse(resp)
+func (ex *execution) keepFallback(reply dgbackend.Reply) {
+	resp := reply.Resp
+	if ex.req.sharded() || ex.fallback.Resp != nil || impliesNotRun(resp.StatusCode()) || len(resp.Header.Peek(ex.e.opt.Dialect.Backend.ServerStamp)) == 0 || resp.StatusCode()/100 == 2 {
+		reply.Release()
 		return
 	}
-	ex.fallback = resp
+	ex.fallback = reply
 }
 
 // attemptFailed records a failed attempt. reached tells whether the replica received the
@@ -351,11 +354,8 @@
 }
 
 func (ex *execution) releaseResponses() {
-	for _, resp := range []*fasthttp.Response{ex.response, ex.fallback} {
-		if resp != nil {
-			fasthttp.ReleaseResponse(resp)
-		}
-	}
+	ex.response.Release()
+	ex.fallback.Release()
 }
 
 // writeResponse sets the response to the caller: a replica's response, the merged parts,
@@ -363,8 +363,8 @@
 // on the verdict.
 func (ex *execution) writeResponse(ctx *fasthttp.RequestCtx) {
 	switch {
-	case ex.response != nil:
-		copyResponse(ctx, ex.response)
+	case ex.response.Resp != nil:
+		copyResponse(ctx, ex.response.Resp)
 	case ex.verdict == dggather.Complete || ex.verdict == dggather.Partial:
 		in, total := ex.gather.Coverage()
 		ctx.SetStatusCode(fasthttp.StatusOK)
@@ -372,11 +372,12 @@
 		ctx.Response.Header.Set(ex.e.opt.Dialect.ShardStampsHeader, strings.Join(ex.stamps, ", "))
 		ctx.Response.Header.Set(ex.e.opt.Dialect.MissingShardsHeader, strconv.Itoa(total-in))
 		ctx.SetBody(dggather.Merge(ex.parts, ex.req.route.TopK))
-	case ex.fallback != nil:
-		copyResponse(ctx, ex.fallback)
+	case ex.fallback.Resp != nil:
+		copyResponse(ctx, ex.fallback.Resp)
 	case ex.verdict == dggather.NotRun:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(notRunRetryAfter))
+		retry := max(notRunRetryAfter, ex.e.checkCoverage(ex.req).RetryAfter)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(retry))
 	case ex.verdict == dggather.DeadlineExceeded:
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	default:
