--- a/dgedge/apply.go
+++ b/dgedge/apply.go
@@ -43,7 +43,7 @@
 		}
 		in, err := c.e.opt.Store.DecodeInstance(o)
 		if err != nil {
-			c.e.log.event("invalid replica registration").Str("Replica", string(id)).Uint64("Version", uint64(o.Version)).Err(err).Send()
+			c.e.log.event("invalid replica registration").Str("Replica", clip(string(id))).Uint64("Version", uint64(o.Version)).Str("Error", clip(err.Error())).Send()
 			c.catalog.Remove(now, id)
 			continue
 		}
--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -23,13 +24,15 @@
 	}
 	for _, o := range b.objects {
 		vm := dandeliongap.VMName(baseName(o.Name))
-		var m dandeliongap.EdgeMember
-		if o.Deleted {
+		m, err := decodeMember(o)
+		switch {
+		case o.Deleted:
 			delete(c.members, vm)
-		} else if err := json.Unmarshal(o.Body, &m); err != nil || m.Entry == "" {
-			c.e.log.event("invalid member registration").Str("Member", string(vm)).AnErr("Error", err).Send()
+		case err != nil:
+			delete(c.members, vm)
+			c.e.log.event("invalid member registration").Str("Member", clip(string(vm))).Str("Error", clip(err.Error())).Send()
 			continue
-		} else {
+		default:
 			c.members[vm] = m
 			c.memberVersions[vm] = o.Version
 			if _, ok := c.memberSince[vm]; !ok {
@@ -45,6 +48,23 @@
 	}
 }
 
+// decodeMember decodes the registration of a VM. Its error wraps ErrInvalid. The object of
+// a VM that was removed has no content.
+func decodeMember(o dandeliongap.Object) (m dandeliongap.EdgeMember, err error) {
+	if o.Deleted {
+		return m, nil
+	}
+	if err := json.Unmarshal(o.Body, &m); err != nil {
+		return m, fmt.Errorf("%w: %w", dandeliongap.ErrInvalid, err)
+	}
+	for _, addr := range []string{m.Entry, m.Gossip} {
+		if a, err := netip.ParseAddrPort(addr); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+			return m, fmt.Errorf("%w: address %.60q, want IP:port", dandeliongap.ErrInvalid, addr)
+		}
+	}
+	return m, nil
+}
+
 // registeredVMs returns the registered VMs and this one, sorted.
 func (c *control) registeredVMs() []dandeliongap.VMName {
 	out := []dandeliongap.VMName{c.e.opt.Settings.VM}
