--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -8,7 +8,8 @@
 //	R1  A replica is not used if it is draining, if its availability zone is out of
 //	    service, or if the request excludes it because it was sent there before.
 //	R2  This VM opens at most its share of a replica's connections
-//	    (ConnectionShares).
+//	    (ConnectionShares). A VM that is not among those that share them, because it
+//	    stands by, opens one at a time.
 //	R3  Of the usable replicas, the one with the lowest cost is selected. The cost is
 //	    the slowness of the replica, times one plus its requests in flight from this
 //	    VM, divided by its share of successes. A random factor decides between
@@ -34,6 +35,9 @@
 //	    whatever its registration says, until another process registers under its ID.
 //	R10 A replica that asked in a response for a pause gets no request before the
 //	    pause is over, not even a probe.
+//	R11 A replica in another availability zone than the VM costs otherZoneCostFactor
+//	    times as much: it is used if those in the VM's zone are slow, busy or
+//	    unusable. Traffic between zones takes longer and is charged for.
 package dgbalance
 
 import (
@@ -94,6 +98,15 @@
 
 	// coldCostFactor is the cost of a cold replica relative to a warm one.
 	coldCostFactor = 1.6
+
+	// standbyColdShare is the factor by which a VM that stands by sends fewer requests
+	// to a replica in cold start than one that serves callers (R7).
+	standbyColdShare = 10
+
+	// otherZoneCostFactor is the cost of a replica in another availability zone
+	// relative to one in the VM's zone (R11). It exceeds the effect of costJitter, so
+	// that of two idle replicas the one in the VM's zone is used.
+	otherZoneCostFactor = 1.5
 )
 
 // Result tells how a request to a replica ended, as far as this says something
@@ -172,6 +185,7 @@
 type Balancer struct {
 	rng            *rand.Rand
 	self           dandeliongap.VMName
+	zone           dandeliongap.ZoneName // of the VM; "" if unknown
 	services       map[dandeliongap.ServiceName][]*replica
 	byID           map[dandeliongap.InstanceID]*replica
 	zonesOut       map[dandeliongap.ZoneName]bool
@@ -180,10 +194,10 @@
 	hints          map[process]*hintState
 }
 
-// New returns a balancer without replicas, for the VM self.
-func New(self dandeliongap.VMName, rng *rand.Rand) *Balancer {
+// New returns a balancer without replicas, for the VM self in an availability zone.
+func New(self dandeliongap.VMName, zone dandeliongap.ZoneName, rng *rand.Rand) *Balancer {
 	return &Balancer{
-		rng: rng, self: self,
+		rng: rng, self: self, zone: zone,
 		services:       make(map[dandeliongap.ServiceName][]*replica),
 		byID:           make(map[dandeliongap.InstanceID]*replica),
 		typicalLatency: make(map[dandeliongap.RouteName]time.Duration),
@@ -193,7 +207,7 @@
 }
 
 // Update replaces the replicas, the limits of their services, the zones that are out
-// of service and the registered VMs. Estimates are kept for replicas that have
+// of service and the VMs that serve callers. Estimates are kept for replicas that have
 // neither restarted nor changed their address.
 func (b *Balancer) Update(now dandeliongap.Instant, list []dandeliongap.Instance, limits map[dandeliongap.ServiceName]dandeliongap.ServiceLimits, zonesOut map[dandeliongap.ZoneName]bool, vms []dandeliongap.VMName) {
 	b.zonesOut = zonesOut
@@ -209,6 +223,9 @@
 		r.coldUntil = now.Add(in.ColdRemaining)
 		limit := limits[in.Service]
 		r.coldRate = limit.ColdRate / float64(max(1, len(vms)))
+		if !slices.Contains(vms, b.self) {
+			r.coldRate /= standbyColdShare
+		}
 		b.byID[in.ID] = r
 		b.services[in.Service] = append(b.services[in.Service], r)
 	}
@@ -229,6 +246,12 @@
 		}
 		return
 	}
+	if !slices.Contains(vms, b.self) {
+		for _, r := range rs {
+			r.maxConnections = 1
+		}
+		return
+	}
 	var h xxhash.Digest
 	h.Reset()
 	for _, vm := range vms {
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -46,7 +46,7 @@
 
 // newFixture returns a balancer with the replicas a and b.
 func newFixture() *fixture {
-	f := &fixture{b: dgbalance.New("vm", rand.New(rand.NewPCG(1, 1))), limit: dandeliongap.ServiceLimits{Connections: 100}, vms: []dandeliongap.VMName{"vm"}}
+	f := &fixture{b: dgbalance.New("vm", "", rand.New(rand.NewPCG(1, 1))), limit: dandeliongap.ServiceLimits{Connections: 100}, vms: []dandeliongap.VMName{"vm"}}
 	f.update(0, newInstance("a"), newInstance("b"))
 	return f
 }
@@ -319,7 +319,7 @@
 		cold.ColdRemaining = time.Minute
 		var sentAt []dandeliongap.Instant
 		for i := range vms {
-			b := dgbalance.New(vms[i], rand.New(rand.NewPCG(1, uint64(i))))
+			b := dgbalance.New(vms[i], "", rand.New(rand.NewPCG(1, uint64(i))))
 			limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{svc: {ColdRate: rate}}
 			b.Update(0, []dandeliongap.Instance{cold}, limits, nil, vms)
 			for now := ms(1); now < ms(3000); now = now.Add(2 * time.Millisecond) {
@@ -342,3 +342,39 @@
 		}
 	})
 }
+
+var _ = Describe("availability zones of replicas", func() {
+	newZoned := func() *fixture {
+		f := newFixture()
+		f.b = dgbalance.New("vm", "z-a", rand.New(rand.NewPCG(1, 1)))
+		f.update(0, newInstance("a"), newInstance("b"))
+		return f
+	}
+	It("R11 keep requests in the zone of the VM while its replica is idle and fast (guards against traffic between zones that serves nobody)", func() {
+		f := newZoned()
+		for at := range 100 {
+			Expect(f.request(ms(100*at), constantLatency, dgbalance.Answered)).To(Equal("a"))
+		}
+	})
+	It("R11 give way to speed and load (guards against requests that wait for a replica only because it is near)", func() {
+		f := newZoned()
+		a, _, err := f.b.Pick(0, route, svc, nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Instance.ID).To(BeEquivalentTo("a"))
+		Expect(f.request(0, constantLatency, dgbalance.Answered)).To(Equal("b"), "while a has a request in flight")
+		f.b.Done(ms(30), route, &a, dgbalance.Answered)
+		slowA := func(id string) time.Duration {
+			if id == "a" {
+				return 300 * time.Millisecond
+			}
+			return 30 * time.Millisecond
+		}
+		toA := 0
+		for at := 1000; at < 5000; at += 50 {
+			if f.request(ms(at), slowA, dgbalance.Answered) == "a" {
+				toA++
+			}
+		}
+		Expect(toA).To(BeNumerically("<=", 16), "of 80 requests")
+	})
+})
--- a/dgbalance/learn.go
+++ b/dgbalance/learn.go
@@ -15,12 +15,15 @@
 	return 1 + (r.slowness-1)*decay, r.failureShare * decay
 }
 
-// cost returns the expected cost of a request to a replica (R3, R4).
+// cost returns the expected cost of a request to a replica (R3, R4, R11).
 func (b *Balancer) cost(now dandeliongap.Instant, route dandeliongap.RouteName, r *replica) float64 {
 	slowness, failureShare := r.decayedEstimates(now)
 	if now < r.coldUntil {
 		slowness *= coldCostFactor
 	}
+	if b.zone != "" && r.instance.Zone != b.zone {
+		slowness *= otherZoneCostFactor
+	}
 	if unanswered := r.unansweredFor(now); unanswered > 0 {
 		slowness = max(slowness, float64(unanswered)/float64(b.TypicalLatency(route, defaultTypicalLatency)))
 	}
--- a/dgbudget/dgbudget.go
+++ b/dgbudget/dgbudget.go
@@ -9,8 +9,9 @@
 //	U1  The extra requests of a VM to a service in any window are at most
 //	    UsableShare times the sum of two terms: Ratio times the first requests of
 //	    that VM to the service in the window, and the VM's share of Slack.
-//	U2  The share of Slack is Slack divided by the maximum number of VMs that were
-//	    registered at the same time in the last window.
+//	U2  The share of Slack is the smallest that the VM was granted in the last window.
+//	    A VM that gets the share of another one may use it only after a window, in
+//	    which the other may still have used it.
 //	U3  An extra request counts for ArrivalDelay longer than a window, since it may
 //	    reach its replica that long after it was reserved.
 //	U4  A process that replaces another one has no share of Slack in its first
@@ -43,12 +44,16 @@
 // Budget counts requests per service. It is not safe for concurrent use.
 type Budget struct {
 	opt      Options
-	vms      int                  // registered VMs
-	maxVMs   int                  // maximum of vms over the last window (U2)
-	maxVMsAt dandeliongap.Instant // last call of SetMembers that reached maxVMs
+	shares   []grantedShare // of Slack, oldest first: those of the last window and the current one (U2)
 	services map[dandeliongap.ServiceName]*bucketRing
 }
 
+// grantedShare is a share of Slack and the time from which it was granted.
+type grantedShare struct {
+	from  dandeliongap.Instant
+	share float64
+}
+
 type bucket struct {
 	index        int64 // ordinal of the bucket on the time axis, see bucketIndex
 	first, extra float64
@@ -68,14 +73,21 @@
 
 // New returns a budget for one VM.
 func New(o Options) *Budget {
-	return &Budget{opt: o, vms: 1, maxVMs: 1, services: make(map[dandeliongap.ServiceName]*bucketRing)}
+	return &Budget{opt: o, shares: []grantedShare{{share: 1}}, services: make(map[dandeliongap.ServiceName]*bucketRing)}
+}
+
+// SetShare grants this VM a share of Slack, from 0 to 1 (U2).
+func (b *Budget) SetShare(now dandeliongap.Instant, share float64) {
+	if b.shares[len(b.shares)-1].share != share {
+		b.shares = append(b.shares, grantedShare{now, share})
+	}
+	b.dropShares(now)
 }
 
-// SetMembers sets the number of registered VMs, including this one.
-func (b *Budget) SetMembers(now dandeliongap.Instant, n int) {
-	b.vms = max(n, 1)
-	if b.vms >= b.maxVMs || now.Sub(b.maxVMsAt) > b.opt.Window {
-		b.maxVMs, b.maxVMsAt = b.vms, now
+// dropShares drops the shares that were replaced before the last window.
+func (b *Budget) dropShares(now dandeliongap.Instant) {
+	for len(b.shares) > 1 && now.Sub(b.shares[1].from) > b.opt.Window {
+		b.shares = b.shares[1:]
 	}
 }
 
@@ -161,8 +173,10 @@
 	if !b.opt.InitialStart && now.Sub(b.opt.Start) < b.opt.Window {
 		return 0
 	}
-	if now.Sub(b.maxVMsAt) > b.opt.Window {
-		b.maxVMs = b.vms
+	b.dropShares(now)
+	share := b.shares[0].share
+	for _, g := range b.shares[1:] {
+		share = min(share, g.share)
 	}
-	return UsableShare * b.opt.Slack / float64(b.maxVMs)
+	return UsableShare * b.opt.Slack * share
 }
--- a/dgbudget/dgbudget_test.go
+++ b/dgbudget/dgbudget_test.go
@@ -43,7 +43,7 @@
 		budgets := make([]*dgbudget.Budget, vms)
 		for i := range budgets {
 			budgets[i] = newBudget(true, 0)
-			budgets[i].SetMembers(0, vms)
+			budgets[i].SetShare(0, 1/float64(vms))
 		}
 		var firsts, extras []dandeliongap.Instant // arrival times
 		rate, wanted := 4, 1                      // first and extra requests per tick
@@ -55,7 +55,7 @@
 			if rapid.IntRange(0, 150).Draw(t, "restart") == 0 {
 				i := rapid.IntRange(0, vms-1).Draw(t, "vm")
 				budgets[i] = newBudget(false, now)
-				budgets[i].SetMembers(now, vms)
+				budgets[i].SetShare(now, 1/float64(vms))
 			}
 			for range rate {
 				budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")].CountFirst(now, svc)
@@ -94,7 +94,7 @@
 var _ = Describe("Budget", func() {
 	It("U4 gives a process that replaces another one no share of the slack (guards against using the share twice)", func() {
 		b := newBudget(false, 0)
-		b.SetMembers(0, 6)
+		b.SetShare(0, 1.0/6)
 		Expect(b.Reserve(0, svc)).To(BeFalse())
 		for range 10 {
 			b.CountFirst(0, svc)
@@ -105,8 +105,8 @@
 	})
 	It("U2 divides the slack by the maximum number of VMs in the last window (guards against a share that grows while the share of a lost VM may still be in use)", func() {
 		b := newBudget(true, 0)
-		b.SetMembers(0, 6)
-		b.SetMembers(1, 2)
+		b.SetShare(0, 1.0/6)
+		b.SetShare(1, 1.0/2)
 		Expect(b.Remaining(2, svc)).To(BeNumerically("~", dgbudget.UsableShare*slack/6, 0.01))
 		Expect(b.Remaining(dandeliongap.Instant(window+time.Second), svc)).To(BeNumerically("~", dgbudget.UsableShare*slack/2, 0.01))
 	})
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -12,6 +12,7 @@
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgcatalog"
 	"dandeliongap.example/dandeliongap/dgpresence"
+	"dandeliongap.example/dandeliongap/dgroster"
 	"dandeliongap.example/dandeliongap/dgroute"
 	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/sourcegraph/conc"
@@ -44,7 +45,7 @@
 type control struct {
 	e               *Edge
 	batches         chan batch
-	heartbeats      chan []dgpresence.Heartbeat
+	heartbeats      chan gossip
 	publishRequests chan struct{} // see requestPublish
 	ctx             context.Context
 	cancel          context.CancelFunc
@@ -67,12 +68,26 @@
 	nextExpiry      dandeliongap.Instant                         // next expiry in the catalog; 0: none
 	sharers         []dandeliongap.VMName                        // VMs among which the connections to replicas are divided
 
+	roster      dgroster.Roster
+	near        dgroster.Nearness
+	onRoster    []dandeliongap.VMName // VMs that serve callers
+	hubs        []dandeliongap.VMName
+	polls       int                    // number of questions to hubs so far
+	ticks       int                    // number of heartbeat intervals so far
+	own         []dgpresence.Heartbeat // heartbeat of this VM, as of the last tick
+	reply, same []byte                 // replies to the questions of VMs that stand by; nil: to be encoded
+	digest      uint64                 // of the hubs in reply
+	nominal     []dandeliongap.VMName  // VMs that would be on the roster if all were present
+	rate        float64                // attempts per second that this VM starts
+	rateStarted int64                  // attempts started up to rateAt
+	rateAt      dandeliongap.Instant
+
 	followers       map[string]*follower
 	newestApplied   map[string]dandeliongap.Version // by kind: version of the newest applied change
 	completeUpTo    map[string]dandeliongap.Version // by kind: all changes up to this version are applied
 	newestElsewhere map[string]dandeliongap.Version // by kind: newest change that another VM reported
 	behindSince     map[string]dandeliongap.Instant // by kind: when another VM was found to have a newer change, or when the last hint was sent
-	presentOthers   atomic.Int64                    // number of other VMs that are alive
+	presentOthers   atomic.Int64                    // number of other hubs that are alive
 	currentRole     atomic.Int32                    // a dgwatch.Role
 	lastSender      atomic.Pointer[string]          // address that sent the last heartbeats
 	// readersFailing is set while this VM pulls changes and all of the first
@@ -81,6 +96,11 @@
 	shortWaitsUntil atomic.Int64 // Instant until which watches use baseWatchWait
 	settlingUntil   atomic.Int64 // Instant at which settlePeriod ends after an outage
 
+	membersKnown chan struct{} // closed when the registered VMs were listed first
+	membersOnce  sync.Once
+	standby      atomic.Bool            // this VM is not a hub
+	servingHub   atomic.Pointer[string] // gossip address of a hub that serves; nil: none is known
+
 	answeredMu sync.Mutex
 	answered   chan struct{} // closed and replaced when the store answers
 
@@ -94,7 +114,7 @@
 		e: e, ctx: ctx, cancel: cancel,
 		rng:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		batches:         make(chan batch),
-		heartbeats:      make(chan []dgpresence.Heartbeat, heartbeatQueueSize),
+		heartbeats:      make(chan gossip, heartbeatQueueSize),
 		publishRequests: make(chan struct{}, 1),
 		catalog:         dgcatalog.New(),
 		confirmed:       make(map[string]bool),
@@ -111,6 +131,7 @@
 		newestElsewhere: make(map[string]dandeliongap.Version),
 		behindSince:     make(map[string]dandeliongap.Instant),
 		answered:        make(chan struct{}),
+		membersKnown:    make(chan struct{}),
 	}
 	c.listenGossip()
 	return c
@@ -140,6 +161,7 @@
 		case heartbeats := <-c.heartbeats:
 			c.applyHeartbeats(heartbeats)
 		case <-c.publishRequests:
+			c.updateRoster(c.e.now())
 			c.publish()
 			c.sendHeartbeats()
 		case <-tick.C:
@@ -192,7 +214,14 @@
 	c.confirmed[b.kind] = c.confirmed[b.kind] || first
 	c.recordVersions(b)
 	if first || b.full || len(b.objects) > 0 {
+		wasReady := c.e.view.Load().ready
 		c.propagate()
+		if c.e.view.Load().ready && !wasReady {
+			c.requestPublish() // the others need not wait for the next tick
+		}
+	}
+	if b.kind == dandeliongap.KindMembers {
+		c.membersOnce.Do(func() { close(c.membersKnown) })
 	}
 }
 
@@ -208,10 +237,21 @@
 }
 
 // applyHeartbeats applies the heartbeats of a datagram.
-func (c *control) applyHeartbeats(heartbeats []dgpresence.Heartbeat) {
+func (c *control) applyHeartbeats(g gossip) {
 	now := c.e.now()
-	c.presence.Merge(now, heartbeats)
-	for _, hb := range heartbeats {
+	switch {
+	case g.Reply && c.standby.Load():
+		c.presence.MergeReply(now, g.Beats)
+		if g.Same {
+			c.presence.Confirm(now)
+		}
+	default:
+		c.presence.Merge(now, g.Beats)
+	}
+	for _, hb := range g.Beats {
+		if hb.Poll {
+			c.answerPoll(now, g)
+		}
 		for kind, v := range hb.Seen {
 			c.newestElsewhere[kind] = max(c.newestElsewhere[kind], v)
 		}
@@ -272,7 +312,9 @@
 	e, now := c.e, c.e.now()
 	_, c.nextExpiry = c.catalog.Expire(now)
 	list := c.catalog.Instances(now)
-	c.sharers = c.connectionSharers(now)
+	c.near = dgroster.NearnessOf(list)
+	c.updateRoster(now)
+	c.sharers = c.connectionSharers()
 	limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{}
 	if c.table != nil {
 		limits = c.table.Config.Services
@@ -283,7 +325,7 @@
 	}
 	e.mu.Lock()
 	e.balancer.Update(now, list, limits, c.zonesOut, c.sharers)
-	e.budget.SetMembers(now, len(c.members))
+	e.budget.SetShare(now, c.budgetShare())
 	e.mu.Unlock()
 	e.forward.Retain(ids)
 	c.publish()
@@ -298,20 +340,14 @@
 		v.ready = v.ready && c.confirmed[kind]
 	}
 	v.stale = c.failingKinds[dandeliongap.KindRoutes] || c.readersFailing || now.Sub(c.lastStoreAnswer) > storeStaleAfter
-	if v.ready && !e.draining.Load() {
-		v.directory = append(v.directory, e.opt.Settings.EntryListen)
-	}
-	present := int64(0)
-	for vm, m := range c.members {
-		alive, serving := c.presence.Present(now, vm)
-		if serving {
+	for _, vm := range c.onRoster {
+		if vm == e.opt.Settings.VM {
+			v.directory = append(v.directory, e.opt.Settings.EntryListen)
+		} else if m, ok := c.members[vm]; ok {
 			v.directory = append(v.directory, m.Entry)
 		}
-		if alive {
-			present++
-		}
 	}
-	c.presentOthers.Store(present)
+	c.presentOthers.Store(int64(len(c.presence.Hubs(now))))
 	slices.Sort(v.directory)
 	if old := e.view.Load(); old.ready != v.ready || !slices.Equal(old.directory, v.directory) {
 		e.log.event("directory changed").Bool("Ready", v.ready).Strs("Names", v.directory).Send()
@@ -322,10 +358,12 @@
 // tick sends heartbeats and updates the state that changes with time.
 func (c *control) tick() {
 	now := c.e.now()
+	c.updateRate(now)
 	c.updateRole(now)
 	c.sendHeartbeats()
+	c.updateRoster(now)
 	c.hintFollowers(now)
-	if c.nextExpiry > 0 && now >= c.nextExpiry || !slices.Equal(c.sharers, c.connectionSharers(now)) {
+	if c.nextExpiry > 0 && now >= c.nextExpiry || !slices.Equal(c.sharers, c.connectionSharers()) {
 		c.propagate()
 	} else {
 		c.publish()
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -61,11 +61,12 @@
 	draining       atomic.Bool // Drain has been called; no longer ready
 	refusing       atomic.Bool // new requests are refused
 
-	active  activeSet
-	entry   *callerListener
-	servers []*fasthttp.Server
-	stop    chan struct{}
-	wg      conc.WaitGroup
+	active   activeSet
+	attempts atomic.Int64 // attempts started
+	entry    *callerListener
+	servers  []*fasthttp.Server
+	stop     chan struct{}
+	wg       conc.WaitGroup
 }
 
 // view is a snapshot of the control state for requests. It is immutable.
@@ -85,7 +86,7 @@
 		opt: o, start: now, boot: now.UnixNano(),
 		log:      newEventLog(o.Log, o.Settings.VM),
 		forward:  dgbackend.NewForwarder(o.Dialect.Backend),
-		balancer: dgbalance.New(o.Settings.VM, rng),
+		balancer: dgbalance.New(o.Settings.VM, o.Settings.Zone, rng),
 		stop:     make(chan struct{}),
 	}
 	e.budget = dgbudget.New(dgbudget.Options{
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -1,6 +1,10 @@
 package dgedge
 
-import "io"
+import (
+	"io"
+
+	"dandeliongap.example/dandeliongap/dgpresence"
+)
 
 // WriteRequestLines writes n log lines about a request, in the form that a VM writes.
 func WriteRequestLines(w io.Writer, n int) {
@@ -17,3 +21,13 @@
 
 // NextWatchDelay exports nextWatchDelay for tests.
 var NextWatchDelay = nextWatchDelay
+
+// DatagramSize returns the size of the datagram for heartbeats and a digest, in bytes.
+func DatagramSize(heartbeats []dgpresence.Heartbeat, digest uint64) int {
+	var p packer
+	b, err := p.pack(gossipMessage{Beats: heartbeats, Digest: digest})
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -51,6 +51,18 @@
 	roleCheckInterval = 500 * time.Millisecond
 	// registrationCheckInterval is the time between two checks of the VM's registration.
 	registrationCheckInterval = 200 * time.Millisecond
+
+	// firstStartDelay is the delay of the first list of VMs when the whole tier starts. The
+	// processes start within 0.3 s of each other, and register at once.
+	firstStartDelay = 400 * time.Millisecond
+	// membersTimeout limits the wait for the first list of VMs. Without it a VM cannot know
+	// whether it stands by.
+	membersTimeout = time.Second
+	// standbyPatience is how long a VM that stands by waits for a hub that serves (F5).
+	// Hubs are ready within a second after the whole tier was stopped.
+	standbyPatience = 2 * time.Second
+	// standbyPollInterval is the time between two checks for such a hub.
+	standbyPollInterval = 100 * time.Millisecond
 )
 
 // backlogSize is the number of changes in one answer at which a follower assumes that
@@ -92,6 +104,9 @@
 //	    wait for the result. Meanwhile all of them pull changes from other VMs.
 //	F4  The first list may be some seconds old, as such a list costs the store less.
 //	    The VM becomes ready only after it has also read the changes since that list.
+//	F5  A VM that stands by gets these changes from a hub that serves callers, as calls
+//	    to the store cost money. If it finds none within standbyPatience, it reads
+//	    the store itself.
 type follower struct {
 	c        *control
 	kind     string
@@ -103,6 +118,8 @@
 	historyGone bool
 	// confirmed reports that the state is no older than the start of the VM (F4).
 	confirmed bool
+	// triedHub reports that confirmFromHub was called.
+	triedHub bool
 	// sourceAddrs holds the addresses of VMs that have newer changes.
 	sourceAddrs atomic.Pointer[[]string]
 	// failedSource is the address from which the last pull failed, or "" if the last
@@ -111,7 +128,13 @@
 }
 
 func (f *follower) run() {
+	if f.kind == dandeliongap.KindMembers && f.c.e.opt.Settings.FirstStart {
+		f.c.sleep(firstStartDelay)
+	}
 	for f.c.ctx.Err() == nil {
+		if f.since > 0 && !f.confirmed && f.confirmFromHub() {
+			continue
+		}
 		if f.since > 0 && f.confirmed && f.c.role() == dgwatch.Puller {
 			f.pullFor(roleCheckInterval, true)
 			continue
@@ -154,6 +177,29 @@
 	}
 }
 
+// confirmFromHub gets the changes since the first list from a hub (F5). It reports whether
+// it did so.
+func (f *follower) confirmFromHub() bool {
+	if f.triedHub {
+		return false
+	}
+	f.triedHub = true
+	f.c.await(f.c.membersKnown, membersTimeout)
+	for begin := f.c.e.now(); f.c.standby.Load() && f.c.e.now().Sub(begin) < standbyPatience; f.c.sleep(standbyPollInterval) {
+		if f.c.ctx.Err() != nil {
+			return false
+		}
+		addr := f.c.servingHub.Load()
+		if addr == nil {
+			continue
+		}
+		if b, err := f.pull("F5", *addr); err == nil {
+			return f.deliver(b)
+		}
+	}
+	return false
+}
+
 // deliver passes a batch to the control goroutine and updates the follower's state. It
 // returns false if the call failed or the VM stops.
 func (f *follower) deliver(b batch) bool {
@@ -328,10 +374,15 @@
 
 // awaitStoreAnswer waits for an answer of the store, at most for the given time.
 func (c *control) awaitStoreAnswer(timeout time.Duration) {
+	c.await(c.storeAnsweredChan(), timeout)
+}
+
+// await waits until ch is closed, at most for the given time.
+func (c *control) await(ch <-chan struct{}, timeout time.Duration) {
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 	select {
-	case <-c.storeAnsweredChan():
+	case <-ch:
 	case <-t.C:
 	case <-c.ctx.Done():
 	}
--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -12,9 +12,14 @@
 	"dandeliongap.example/dandeliongap"
 )
 
-// removeMemberAfter is the age of a VM's last heartbeat at which its registration is
-// removed. A VM that was only paused registers again.
-const removeMemberAfter = 30 * time.Second
+const (
+	// removeMemberAfter is the age of a VM's last heartbeat at which its registration is
+	// removed. A VM that was only paused registers again.
+	removeMemberAfter = 30 * time.Second
+	// removeZoneAfter is the same for VMs of a zone without a hub that is present. Such a
+	// zone is cut off or lost as a whole.
+	removeZoneAfter = 5 * time.Minute
+)
 
 // applyMembers applies changed registrations of VMs. If the registration of this VM is
 // missing or belongs to another process, it makes keepRegistered write a new one.
@@ -65,56 +70,41 @@
 	return m, nil
 }
 
-// registeredVMs returns the registered VMs and this one, sorted.
-func (c *control) registeredVMs() []dandeliongap.VMName {
-	out := []dandeliongap.VMName{c.e.opt.Settings.VM}
-	for vm := range c.members {
-		if vm != c.e.opt.Settings.VM {
-			out = append(out, vm)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// connectionSharers returns the VMs among which the connections to replicas are
-// divided: the VMs that are present and, if these are less than half of the registered
-// VMs, enough others to make up half. Even if VMs disagree about which VMs are present,
-// the tier as a whole then uses at most twice the connections that are divided.
-func (c *control) connectionSharers(now dandeliongap.Instant) []dandeliongap.VMName {
-	all := c.registeredVMs()
-	var out, absent []dandeliongap.VMName
-	for _, vm := range all {
-		if alive, _ := c.presence.Present(now, vm); alive || vm == c.e.opt.Settings.VM {
-			out = append(out, vm)
-		} else {
-			absent = append(absent, vm)
-		}
-	}
-	if missing := (len(all)+1)/2 - len(out); missing > 0 {
-		out = append(out, absent[:missing]...)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // removeLostMembers removes the registrations of VMs that no heartbeat has arrived from
-// for removeMemberAfter. Of the VMs that are present, only the first by name does so.
+// for removeMemberAfter. The hub that does so is the first by name of those present in
+// the zone of the VM, because VMs that stand by send their heartbeats only there. If no
+// hub of that zone is present, it is the first of all, after removeZoneAfter.
 func (c *control) removeLostMembers(now dandeliongap.Instant) {
-	if len(c.failingKinds) > 0 || !c.confirmed[dandeliongap.KindMembers] {
+	self := c.e.opt.Settings.VM
+	if len(c.failingKinds) > 0 || !c.confirmed[dandeliongap.KindMembers] || !slices.Contains(c.hubs, self) {
 		return
 	}
-	for vm := range c.members {
-		if alive, _ := c.presence.Present(now, vm); alive && vm < c.e.opt.Settings.VM {
-			return
+	first := make(map[dandeliongap.ZoneName]dandeliongap.VMName) // first present hub by zone; "" for all zones
+	for _, vm := range c.hubs {
+		alive, _ := c.presence.Present(now, vm)
+		if !alive && vm != self {
+			continue
+		}
+		zone := c.e.opt.Settings.Zone
+		if vm != self {
+			zone = c.members[vm].Zone
+		}
+		for _, z := range []dandeliongap.ZoneName{zone, ""} {
+			if first[z] == "" || vm < first[z] {
+				first[z] = vm
+			}
 		}
 	}
-	for vm := range c.members {
+	for vm, m := range c.members {
+		remover, after := first[m.Zone], removeMemberAfter
+		if remover == "" {
+			remover, after = first[""], removeZoneAfter
+		}
 		age, known := c.presence.Age(now, vm)
 		if !known {
 			age = now.Sub(c.memberSince[vm])
 		}
-		if vm == c.e.opt.Settings.VM || age < removeMemberAfter || now.Sub(c.memberSince[vm]) < removeMemberAfter {
+		if vm == self || remover != self || age < after || now.Sub(c.memberSince[vm]) < after {
 			continue
 		}
 		version := c.memberVersions[vm]
@@ -135,7 +125,7 @@
 // again whenever applyMembers finds that it is missing.
 func (c *control) keepRegistered() {
 	s := c.e.opt.Settings
-	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot})
+	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot, Cores: s.Cores})
 	if err != nil {
 		c.e.log.event("registration failed").Err(err).Send()
 		return
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -120,7 +120,7 @@
 // kind than this VM.
 func (c *control) newerSources(now dandeliongap.Instant, kind string) []string {
 	var out []string
-	for _, hb := range c.presence.PeerHeartbeats(now) {
+	for _, hb := range c.presence.Hubs(now) {
 		if m, ok := c.members[hb.VM]; ok && hb.Seen[kind] > c.completeUpTo[kind] {
 			out = append(out, m.Gossip)
 		}
--- a/dgedge/role.go
+++ b/dgedge/role.go
@@ -1,6 +1,8 @@
 package dgedge
 
 import (
+	"slices"
+
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgwatch"
 )
@@ -9,15 +11,21 @@
 // changes from other VMs or only retries the store.
 func (c *control) role() dgwatch.Role { return dgwatch.Role(c.currentRole.Load()) }
 
-// updateRole recomputes the role of this VM from the VMs that are present (dgwatch W1).
+// updateRole recomputes the role of this VM from the hubs that are present (dgwatch W1).
+// A VM that stands by pulls, unless it knows no hub.
 // A VM that pulls rarely calls the store, so it also learns from the heartbeats of the
 // other VMs whether the store is available (dgwatch W2).
 func (c *control) updateRole(now dandeliongap.Instant) {
-	present := []dgwatch.Peer{{VM: c.e.opt.Settings.VM, StoreFailing: len(c.failingKinds) > 0}}
-	for _, hb := range c.presence.PeerHeartbeats(now) {
+	self := c.e.opt.Settings.VM
+	var present []dgwatch.Peer
+	for _, hb := range c.presence.Hubs(now) {
 		present = append(present, dgwatch.Peer{VM: hb.VM, StoreFailing: hb.StoreFailing})
 	}
-	role := dgwatch.RoleOf(c.e.opt.Settings.VM, present)
+	role := dgwatch.Puller
+	if len(present) == 0 || slices.Contains(c.hubs, self) {
+		present = append(present, dgwatch.Peer{VM: self, StoreFailing: len(c.failingKinds) > 0})
+		role = dgwatch.RoleOf(self, present)
+	}
 	if old := c.role(); old != role {
 		c.currentRole.Store(int32(role))
 		c.e.log.event("role changed").Str("Rule", "W1").Stringer("From", old).Stringer("To", role).Int("Present", len(present)).Bool("StoreFailing", len(c.failingKinds) > 0).Send()
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -149,6 +149,7 @@
 	ex.attempts = append(ex.attempts, a)
 	ex.gather.AttemptStarted(now, s.Shard, assignment.Instance.ID, assignment.Probe)
 	e.stats.add("Attempts")
+	e.attempts.Add(1)
 	if s.Extra {
 		ex.extras++
 		e.stats.add("Extra")
--- a/dgedge/settings.go
+++ b/dgedge/settings.go
@@ -15,13 +15,14 @@
 type Settings struct {
 	VM              dandeliongap.VMName
 	Zone            dandeliongap.ZoneName
-	StoreAddress    string // "IP:port" of the store
-	FirstStart      bool   // first start of the whole tier; no earlier process has used the retry budget
-	EntryListen     string // "IP:port" for callers; the other listen addresses have the same form
-	ReadyListen     string // readiness check
-	DirectoryListen string // directory of the VMs that accept callers
-	GossipListen    string // UDP for heartbeats, TCP for VMs that pull changes
-	MetricsListen   string // optional; empty if metrics are not served
+	StoreAddress    string  // "IP:port" of the store
+	FirstStart      bool    // first start of the whole tier; no earlier process has used the retry budget
+	EntryListen     string  // "IP:port" for callers; the other listen addresses have the same form
+	ReadyListen     string  // readiness check
+	DirectoryListen string  // directory of the VMs that accept callers
+	Cores           float64 // processor cores of the VM, which may be a fraction; 0: unknown
+	GossipListen    string  // UDP for heartbeats, TCP for VMs that pull changes
+	MetricsListen   string  // optional; empty if metrics are not served
 
 	ShutdownLimit   time.Duration // maximum time from SIGTERM to the exit of the process
 	MaxDirectoryTTL time.Duration // upper bound of the TTL in directory responses
@@ -53,6 +54,12 @@
 		RetrySlack:      r.number("retry slack"),
 		RetryWindow:     r.duration("retry window"),
 	}
+	if r.section.HasKey("cores") {
+		s.Cores = r.number("cores")
+		if r.section.HasKey("core share") {
+			s.Cores *= r.ratio("core share")
+		}
+	}
 	if r.section.HasKey("metrics listen") {
 		s.MetricsListen = r.address("metrics listen")
 	}
--- a/dgedge/stats.go
+++ b/dgedge/stats.go
@@ -33,6 +33,8 @@
 
 func (s *stats) add(name string) { s.counts.Add(name, 1) }
 
+func (s *stats) addN(name string, n int64) { s.counts.Add(name, n) }
+
 func (s *stats) observe(route string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/dgedge/traffic_test.go
@@ -0,0 +1,116 @@
+package dgedge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgedge"
+	"dandeliongap.example/dandeliongap/dgpresence"
+	"dandeliongap.example/dandeliongap/dgroster"
+)
+
+// tierTraffic plays the heartbeats of a tier of n VMs in five zones for some seconds and
+// returns the bytes per second that a VM sends and receives: the most of a hub and of a
+// VM that stands by.
+func tierTraffic(n int) (hub, standby float64) {
+	const seconds = 3
+	rng := rand.New(rand.NewPCG(1, uint64(n)))
+	members := make(map[dandeliongap.VMName]dandeliongap.EdgeMember)
+	var candidates []dgroster.Candidate
+	for i := range n {
+		zone := dandeliongap.ZoneName(fmt.Sprintf("lk-west-%c", 'a'+i%5))
+		m := dandeliongap.EdgeMember{VM: dandeliongap.VMName(fmt.Sprintf("frontend-%s-%d", zone, i/5)), Zone: zone}
+		members[m.VM] = m
+		candidates = append(candidates, dgroster.Candidate{VM: m.VM, Zone: zone})
+	}
+	var roster dgroster.Roster
+	hubs := roster.Hubs(candidates, nil, func(dandeliongap.VMName) bool { return false })
+	views := make(map[dandeliongap.VMName]*dgpresence.View)
+	for vm := range members {
+		views[vm] = dgpresence.New(vm, rng.Int64())
+	}
+	others := func(self dandeliongap.VMName) (out []dandeliongap.EdgeMember) {
+		for _, vm := range hubs {
+			if vm != self {
+				out = append(out, members[vm])
+			}
+		}
+		return out
+	}
+	latest := make(map[dandeliongap.VMName]dgpresence.Heartbeat)
+	bytes := make(map[dandeliongap.VMName]int)
+	send := func(from, to dandeliongap.VMName, size int) {
+		bytes[from] += size
+		bytes[to] += size
+	}
+	versions := map[string]dandeliongap.Version{dandeliongap.KindRoutes: 1234, dandeliongap.KindInstances: 56789, dandeliongap.KindZonesOut: 900, dandeliongap.KindMembers: 4321}
+	for round := range seconds * int(time.Second/dgpresence.HeartbeatInterval) {
+		now := dandeliongap.Instant(round+1) * dandeliongap.Instant(dgpresence.HeartbeatInterval)
+		for i, c := range candidates {
+			standby := !slices.Contains(hubs, c.VM)
+			heartbeats := views[c.VM].Tick(now, dgpresence.LocalStatus{Serving: true, Standby: standby, Attempts: 250, Seen: versions})
+			latest[c.VM] = heartbeats[0]
+			if !standby {
+				size := dgedge.DatagramSize(heartbeats, 0)
+				for _, m := range dgpresence.SelectPeers(rng, c.Zone, others(c.VM)) {
+					send(c.VM, m.VM, size)
+					views[m.VM].Merge(now, heartbeats)
+				}
+				continue
+			}
+			interval := int(dgpresence.PollInterval / dgpresence.HeartbeatInterval)
+			if (round+i)%interval != 0 {
+				continue
+			}
+			m, _ := dgpresence.SelectHub(round/interval, c.Zone, others(c.VM))
+			digest, poll := views[c.VM].Digest(now), views[c.VM].Poll()
+			send(c.VM, m.VM, dgedge.DatagramSize(poll, digest))
+			views[m.VM].Merge(now, poll)
+			own := latest[m.VM]
+			if digest == views[m.VM].Digest(now) {
+				send(m.VM, c.VM, dgedge.DatagramSize([]dgpresence.Heartbeat{own}, 0))
+				views[c.VM].Confirm(now)
+			} else {
+				reply := append([]dgpresence.Heartbeat{own}, views[m.VM].Hubs(now)...)
+				send(m.VM, c.VM, dgedge.DatagramSize(reply, 0))
+				views[c.VM].MergeReply(now, reply)
+			}
+		}
+	}
+	for vm, b := range bytes {
+		rate := float64(b) / seconds
+		if slices.Contains(hubs, vm) {
+			hub = max(hub, rate)
+		} else {
+			standby = max(standby, rate)
+		}
+	}
+	return hub, standby
+}
+
+// maxControlBytes is the control traffic that a VM may send and receive, in bytes a
+// second.
+const maxControlBytes = 5000
+
+// TestStandbyTraffic guards against control traffic of the VMs that stand by that grows
+// with the tier.
+func TestStandbyTraffic(t *testing.T) {
+	for _, n := range []int{62, 195, 610} {
+		if _, standby := tierTraffic(n); standby > maxControlBytes {
+			t.Errorf("%d VMs: %.0f bytes a second, want at most %d", n, standby, maxControlBytes)
+		}
+	}
+}
+
+// TestHubTraffic guards against control traffic of the hubs that grows with the tier.
+func TestHubTraffic(t *testing.T) {
+	for _, n := range []int{62, 195, 610} {
+		if hub, _ := tierTraffic(n); hub > maxControlBytes {
+			t.Errorf("%d VMs: %.0f bytes a second, want at most %d", n, hub, maxControlBytes)
+		}
+	}
+}
--- a/dggather/load_test.go
+++ b/dggather/load_test.go
@@ -128,11 +128,11 @@
 	}
 	for _, name := range vmNames {
 		vm := &simVM{
-			bal:    dgbalance.New(name, sim.rng),
+			bal:    dgbalance.New(name, "", sim.rng),
 			budget: dgbudget.New(dgbudget.Options{Ratio: 0.2, Slack: 52, Window: 10 * time.Second, InitialStart: true}),
 		}
 		vm.bal.Update(0, list, limits, nil, vmNames)
-		vm.budget.SetMembers(0, n)
+		vm.budget.SetShare(0, 1/float64(n))
 		sim.vms = append(sim.vms, vm)
 	}
 	for when := time.Duration(0); when < l.duration; when += time.Duration(sim.rng.ExpFloat64() / l.rate * float64(time.Second)) {
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -1,27 +1,39 @@
 // Package dgpresence is a gossip failure detector: it decides which VMs of the tier
-// are alive. At least once per HeartbeatInterval, a VM increments its counter and sends
-// a few other VMs its own heartbeat and the newest ones of all VMs that are present. A
-// VM whose counter stops increasing is taken as lost. Clocks of different VMs are never
-// compared.
+// are alive. At least once per HeartbeatInterval, a hub (dgroster) increments its counter
+// and sends a few other hubs its own heartbeat and the newest ones of all hubs that are
+// present. A VM whose counter stops increasing is taken as lost. The other VMs, which
+// stand by, send only their own heartbeat to one hub at a time, which replies with those
+// of the hubs. What a VM sends so does not grow with the tier. Clocks of different VMs are
+// never compared.
 //
 // Rules:
 //
 //	V1  A VM is present if its counter has increased within LostAfter, whichever VM
 //	    passed the heartbeat on. The time is longer in a large tier, where a heartbeat
-//	    takes several rounds to reach all VMs.
+//	    takes several rounds to reach all VMs, and on a VM that stands by.
 //	V2  Of two processes with the same VM name, the one that started later replaces
 //	    the other. Heartbeats of the earlier one are ignored.
 //	V3  After a pause of its own process, a VM extends the allowed age of all
 //	    heartbeats by that pause.
-//	V4  In a large tier a heartbeat is sent to a few VMs, most of them in the
+//	V4  If there are many hubs, a heartbeat is sent to a few of them, most in the
 //	    sender's availability zone. The rest are in other zones and pass it on there.
+//	V5  A VM that stands by asks the hubs of its zone in turn, one every PollInterval;
+//	    those of other zones if there are none in its own. The hub replies with the
+//	    hubs that are present. If the VM knows just these, which it tells by a digest, the
+//	    hub only confirms them. A hub that is missing from a reply is taken as lost, unless
+//	    the reply has less than half of the hubs that the VM knows: then the hub that
+//	    replied may have just started.
 package dgpresence
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"github.com/cespare/xxhash/v2"
 )
 
 // LostAfter is the age of the newest heartbeat above which a VM counts as lost in a
@@ -36,6 +48,9 @@
 	// than the others.
 	lostAfterGrowth = 4
 	lostAfterStep   = 2
+	// standbyLostAfter is the age of the newest heartbeat above which a VM that stands by
+	// counts as lost. A hub gets its heartbeat only when it is that hub's turn (V5).
+	standbyLostAfter = 12 * time.Second
 	// countedFor is the age of the newest heartbeat up to which a VM counts towards
 	// the size of the tier.
 	countedFor = 10 * time.Second
@@ -45,17 +60,26 @@
 	removeAfter = 10 * time.Minute
 )
 
-// HeartbeatInterval is the interval of the regular heartbeats of a VM.
+// HeartbeatInterval is the interval of the regular heartbeats of a hub.
 const HeartbeatInterval = 250 * time.Millisecond
 
+// PollInterval is the interval at which a VM that stands by asks a hub (V5).
+const PollInterval = 2 * HeartbeatInterval
+
 // Heartbeat is the state that one VM reports about itself. It is sent as JSON.
 type Heartbeat struct {
 	VM      dandeliongap.VMName
 	Boot    int64  // start of the process in Unix nanoseconds
 	Count   uint64 // increases with every heartbeat of the process
 	Serving bool   // accepts new callers
+	// Standby reports that the VM is not a hub.
+	Standby bool `json:",omitempty"`
+	// Poll asks the receiver to reply with the heartbeats that it has.
+	Poll bool `json:",omitempty"`
 	// StoreFailing reports that the VM's calls to the store fail.
 	StoreFailing bool `json:",omitempty"`
+	// Attempts is the number of attempts per second that the VM starts at replicas.
+	Attempts uint32 `json:",omitempty"`
 	// Seen is the version of the newest change that the VM uses, for each kind of
 	// control state.
 	Seen map[string]dandeliongap.Version `json:",omitempty"`
@@ -72,7 +96,7 @@
 	self     Heartbeat
 	peers    map[dandeliongap.VMName]*peer
 	lastTick dandeliongap.Instant
-	tierSize int // number of VMs in the tier, this one included
+	tierSize int // number of hubs, this VM included
 }
 
 // New returns the empty view of a VM. boot is the value for Heartbeat.Boot.
@@ -84,12 +108,14 @@
 // are those of Heartbeat.
 type LocalStatus struct {
 	Serving      bool
+	Standby      bool
 	StoreFailing bool
+	Attempts     uint32
 	Seen         map[string]dandeliongap.Version
 }
 
 // Tick increments the own counter and returns the heartbeats to send: the own one
-// first, then the newest ones of the other VMs that are present. It must be called at
+// first, then the newest ones of the other hubs that are present. It must be called at
 // least once per HeartbeatInterval. A gap of more than two intervals counts as a pause
 // of this process (V3).
 func (v *View) Tick(now dandeliongap.Instant, status LocalStatus) []Heartbeat {
@@ -102,23 +128,31 @@
 	v.tierSize = 1
 	for vm, p := range v.peers {
 		switch age := now.Sub(p.updatedAt); {
-		case age <= countedFor:
+		case age <= countedFor && !p.heartbeat.Standby:
 			v.tierSize++
 		case age > removeAfter:
 			delete(v.peers, vm)
 		}
 	}
 	v.self.Count++
-	v.self.Serving, v.self.StoreFailing = status.Serving, status.StoreFailing
+	v.self.Serving, v.self.StoreFailing, v.self.Attempts = status.Serving, status.StoreFailing, status.Attempts
+	v.self.Standby = status.Standby
 	v.self.Seen = maps.Clone(status.Seen)
-	return append([]Heartbeat{v.self}, v.PeerHeartbeats(now)...)
+	return append([]Heartbeat{v.self}, v.Hubs(now)...)
+}
+
+// Poll returns the message by which a VM that stands by asks a hub (V5).
+func (v *View) Poll() []Heartbeat {
+	own := v.self
+	own.Poll = true
+	return []Heartbeat{own}
 }
 
-// PeerHeartbeats returns the newest heartbeats of the other VMs that are present.
-func (v *View) PeerHeartbeats(now dandeliongap.Instant) []Heartbeat {
+// Hubs returns the newest heartbeats of the other hubs that are present.
+func (v *View) Hubs(now dandeliongap.Instant) []Heartbeat {
 	var out []Heartbeat
 	for _, p := range v.peers {
-		if now.Sub(p.updatedAt) <= v.lostAfter() {
+		if !p.heartbeat.Standby && now.Sub(p.updatedAt) <= v.lostAfter(p) {
 			out = append(out, p.heartbeat)
 		}
 	}
@@ -140,25 +174,78 @@
 		if h.Boot < p.heartbeat.Boot || h.Boot == p.heartbeat.Boot && h.Count <= p.heartbeat.Count {
 			continue
 		}
+		h.Poll = false // concerns only the message that it came in
 		p.heartbeat, p.updatedAt = h, now
 	}
 }
 
 // lostAfter returns the age of the newest heartbeat above which a VM counts as lost
 // (V1).
-func (v *View) lostAfter() time.Duration {
+func (v *View) lostAfter(p *peer) time.Duration {
+	if p.heartbeat.Standby {
+		return standbyLostAfter
+	}
 	age := LostAfter
+	if v.self.Standby {
+		age += PollInterval
+	}
 	for n := smallTier + 1; n < v.tierSize; n *= lostAfterGrowth {
 		age += lostAfterStep * HeartbeatInterval
 	}
 	return age
 }
 
+// Digest identifies the hubs that are present, which of them accept callers, and their
+// processes. It includes this VM if it is a hub.
+func (v *View) Digest(now dandeliongap.Instant) uint64 {
+	hubs := v.Hubs(now)
+	if !v.self.Standby {
+		hubs = append(hubs, v.self)
+	}
+	slices.SortFunc(hubs, func(a, b Heartbeat) int { return cmp.Compare(a.VM, b.VM) })
+	d := xxhash.New()
+	for _, h := range hubs {
+		fmt.Fprintln(d, h.VM, h.Boot, h.Serving)
+	}
+	return d.Sum64()
+}
+
+// Confirm records that a hub has confirmed the hubs that are present (V5).
+func (v *View) Confirm(now dandeliongap.Instant) {
+	for _, p := range v.peers {
+		if !p.heartbeat.Standby && now.Sub(p.updatedAt) <= v.lostAfter(p) {
+			p.updatedAt = now
+		}
+	}
+}
+
+// MergeReply adds the heartbeats of a reply to Poll, which has all hubs that are present
+// (V5).
+func (v *View) MergeReply(now dandeliongap.Instant, heartbeats []Heartbeat) {
+	known := v.Hubs(now)
+	v.Merge(now, heartbeats)
+	if 2*len(heartbeats) < len(known) {
+		return
+	}
+	listed := make(map[dandeliongap.VMName]bool, len(heartbeats))
+	for _, h := range heartbeats {
+		listed[h.VM] = true
+		if p := v.peers[h.VM]; p != nil && !h.Standby && h.Boot == p.heartbeat.Boot {
+			p.updatedAt = now // the hub vouches for it
+		}
+	}
+	for _, h := range known {
+		if p := v.peers[h.VM]; !listed[h.VM] {
+			p.updatedAt = now.Add(-v.lostAfter(p) - 1)
+		}
+	}
+}
+
 // Present reports whether another VM is alive (V1), and whether it accepts new
 // callers.
 func (v *View) Present(now dandeliongap.Instant, vm dandeliongap.VMName) (alive, serving bool) {
 	p := v.peers[vm]
-	if p == nil || now.Sub(p.updatedAt) > v.lostAfter() {
+	if p == nil || now.Sub(p.updatedAt) > v.lostAfter(p) {
 		return false, false
 	}
 	return true, p.heartbeat.Serving
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -158,3 +158,91 @@
 		}
 	}
 })
+
+// Guards against VMs that stand by and lose sight of the hubs, or name a lost hub for
+// long, although each asks only one hub at a time.
+var _ = It("V5: a VM that stands by knows the hubs that are present and notices a lost one", func() {
+	for _, standbyCount := range []int{42, 175, 590} {
+		rng := rand.New(rand.NewPCG(1, uint64(standbyCount)))
+		hubs, standbys := tier(20), tier(standbyCount)
+		for i := range standbys {
+			standbys[i].VM = "standby-" + standbys[i].VM
+		}
+		views := make(map[dandeliongap.VMName]*dgpresence.View)
+		latest := make(map[dandeliongap.VMName]dgpresence.Heartbeat)
+		for _, m := range append(slices.Clone(hubs), standbys...) {
+			views[m.VM] = dgpresence.New(m.VM, 1)
+		}
+		const rounds, stopRound, pollRounds = 120, 80, int(dgpresence.PollInterval / dgpresence.HeartbeatInterval)
+		lostBy := 0 // rounds after which every VM that stands by has noticed the lost hub
+		for round := range rounds {
+			now := at(time.Duration(round) * dgpresence.HeartbeatInterval)
+			alive := hubs
+			if round >= stopRound {
+				alive = hubs[1:]
+			}
+			for i, m := range alive {
+				heartbeats := views[m.VM].Tick(now, dgpresence.LocalStatus{Serving: true})
+				latest[m.VM] = heartbeats[0]
+				for _, p := range dgpresence.SelectPeers(rng, m.Zone, append(slices.Clone(alive[:i]), alive[i+1:]...)) {
+					views[p.VM].Merge(now, heartbeats)
+				}
+			}
+			for i, m := range standbys {
+				v := views[m.VM]
+				v.Tick(now, dgpresence.LocalStatus{Serving: true, Standby: true})
+				if (round+i)%pollRounds == 0 {
+					hub, _ := dgpresence.SelectHub(round/pollRounds, m.Zone, slices.Clone(hubs))
+					if round >= stopRound && hub.VM == hubs[0].VM {
+						continue // no reply
+					}
+					hubView := views[hub.VM]
+					hubView.Merge(now, v.Poll())
+					if v.Digest(now) == hubView.Digest(now) {
+						v.Merge(now, []dgpresence.Heartbeat{latest[hub.VM]})
+						v.Confirm(now)
+					} else {
+						v.MergeReply(now, append([]dgpresence.Heartbeat{latest[hub.VM]}, hubView.Hubs(now)...))
+					}
+				}
+				if round < 20 {
+					continue
+				}
+				for j, h := range hubs {
+					present, _ := v.Present(now, h.VM)
+					if j > 0 || round < stopRound {
+						Expect(present).To(BeTrue(), "%d VMs stand by, round %d: %s at %s", standbyCount, round, h.VM, m.VM)
+					} else if present {
+						lostBy = round - stopRound + 1
+					}
+				}
+			}
+		}
+		Expect(time.Duration(lostBy)*dgpresence.HeartbeatInterval).To(BeNumerically("<=", 2700*time.Millisecond), "as fast as with heartbeats of all to all")
+	}
+})
+
+var _ = Describe("a reply to a VM that stands by", func() {
+	var v *dgpresence.View
+	hub := func(name string, count uint64) dgpresence.Heartbeat {
+		return dgpresence.Heartbeat{VM: dandeliongap.VMName(name), Boot: 1, Count: count, Serving: true}
+	}
+	present := func(now time.Duration, name string) bool {
+		ok, _ := v.Present(at(now), dandeliongap.VMName(name))
+		return ok
+	}
+	BeforeEach(func() {
+		v = dgpresence.New("s", 1)
+		v.Tick(at(0), dgpresence.LocalStatus{Standby: true})
+		v.MergeReply(at(0), []dgpresence.Heartbeat{hub("a", 1), hub("b", 1), hub("c", 1), hub("d", 1)})
+	})
+	It("V5: ends the presence of a hub that it lacks", func() {
+		v.MergeReply(at(time.Second), []dgpresence.Heartbeat{hub("a", 2), hub("b", 1), hub("c", 1)})
+		Expect(present(time.Second, "d")).To(BeFalse())
+		Expect(present(time.Second, "c")).To(BeTrue())
+	})
+	It("V5: of a hub that has just started ends no presence (guards against a directory that names only that hub)", func() {
+		v.MergeReply(at(time.Second), []dgpresence.Heartbeat{hub("a", 2)})
+		Expect(present(time.Second, "d")).To(BeTrue())
+	})
+})
--- a/dgpresence/peers.go
+++ b/dgpresence/peers.go
@@ -1,14 +1,16 @@
 package dgpresence
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"dandeliongap.example/dandeliongap"
 )
 
 const (
-	// smallTier is the number of other VMs up to which each heartbeat is sent to
-	// smallTierPeers of them. It then reaches all VMs within one or two intervals.
+	// smallTier is the number of other hubs up to which each heartbeat is sent to
+	// smallTierPeers of them. It then reaches all hubs within one or two intervals.
 	smallTier      = 11
 	smallTierPeers = 5
 	// sameZonePeers and otherZonePeers are the numbers of VMs in the sender's and in
@@ -19,8 +21,27 @@
 	otherZonePeers = 1
 )
 
-// SelectPeers selects the VMs that the next heartbeat is sent to (V4). It reorders
-// others.
+// SelectHub selects the hub that a VM that stands by asks next (V5). turn counts its
+// questions. It returns false if there is no hub.
+func SelectHub(turn int, zone dandeliongap.ZoneName, hubs []dandeliongap.EdgeMember) (dandeliongap.EdgeMember, bool) {
+	var near []dandeliongap.EdgeMember
+	for _, m := range hubs {
+		if m.Zone == zone {
+			near = append(near, m)
+		}
+	}
+	if len(near) == 0 {
+		near = hubs
+	}
+	if len(near) == 0 {
+		return dandeliongap.EdgeMember{}, false
+	}
+	slices.SortFunc(near, func(a, b dandeliongap.EdgeMember) int { return cmp.Compare(a.VM, b.VM) })
+	return near[turn%len(near)], true
+}
+
+// SelectPeers selects the hubs that the next heartbeats of a hub are sent to (V4). It
+// reorders others.
 func SelectPeers(rng *rand.Rand, zone dandeliongap.ZoneName, others []dandeliongap.EdgeMember) []dandeliongap.EdgeMember {
 	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	if len(others) <= smallTier {
--- a/route.go
+++ b/route.go
@@ -82,6 +82,8 @@
 	Entry  string // "IP:port" for callers
 	Gossip string // "IP:port" for gossip from the other VMs, over UDP
 	Boot   int64  // start of the process, Unix nanoseconds
+	// Cores is the number of processor cores, which may be a fraction; 0: unknown.
+	Cores float64 `json:",omitempty"`
 }
 
 // Kinds of control state that an EdgeStore holds.
