Move the shares of connections and of the retry allowance into dgroster

They are decisions and were beside sockets. Tests: the shares of all VMs add up to at most the allowance, connections are divided among half of the nominal roster at least, and the budget holds while shares move from VM to VM (property tests).

--- a/dgbudget/dgbudget_test.go
+++ b/dgbudget/dgbudget_test.go
@@ -33,7 +33,8 @@
 }
 
 // TestLimitInAnyWindow guards against more extra requests than the limit in any
-// window, summed over all VMs, while processes restart and requests arrive late. The
+// window, summed over all VMs, while processes restart, shares of the slack move from VM
+// to VM and requests arrive late. The
 // limit is computed from the first requests of the window, of the window that begins
 // half a window earlier, or of the previous window, whichever has the most.
 func TestLimitInAnyWindow(t *testing.T) {
@@ -41,9 +42,11 @@
 		const tick = 50 * time.Millisecond
 		vms := rapid.IntRange(1, 6).Draw(t, "vms")
 		budgets := make([]*dgbudget.Budget, vms)
+		shares := make([]float64, vms)
 		for i := range budgets {
 			budgets[i] = newBudget(true, 0)
 			budgets[i].SetShare(0, 1/float64(vms))
+			shares[i] = 1 / float64(vms)
 		}
 		var firsts, extras []dandeliongap.Instant // arrival times
 		rate, wanted := 4, 1                      // first and extra requests per tick
@@ -55,7 +58,15 @@
 			if rapid.IntRange(0, 150).Draw(t, "restart") == 0 {
 				i := rapid.IntRange(0, vms-1).Draw(t, "vm")
 				budgets[i] = newBudget(false, now)
-				budgets[i].SetShare(now, 1/float64(vms))
+				budgets[i].SetShare(now, shares[i])
+			}
+			if rapid.IntRange(0, 100).Draw(t, "share moves") == 0 {
+				from, to := rapid.IntRange(0, vms-1).Draw(t, "from"), rapid.IntRange(0, vms-1).Draw(t, "to")
+				if from != to {
+					shares[from], shares[to] = 0, shares[to]+shares[from]
+					budgets[from].SetShare(now, 0)
+					budgets[to].SetShare(now, shares[to])
+				}
 			}
 			for range rate {
 				budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")].CountFirst(now, svc)
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -77,6 +77,7 @@
 	own         []dgpresence.Heartbeat // heartbeat of this VM, as of the last tick
 	reply, same []byte                 // replies to the questions of VMs that stand by; nil: to be encoded
 	digest      uint64                 // of the hubs in reply
+	memberCount int                    // number of registered VMs, this one included
 	nominal     []dandeliongap.VMName  // VMs that would be on the roster if all were present
 	rate        float64                // attempts per second that this VM starts
 	rateStarted int64                  // attempts started up to rateAt
@@ -314,7 +315,7 @@
 	list := c.catalog.Instances(now)
 	c.near = dgroster.NearnessOf(list)
 	c.updateRoster(now)
-	c.sharers = c.connectionSharers()
+	c.sharers = dgroster.ConnectionSharers(c.onRoster, c.nominal)
 	limits := map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{}
 	if c.table != nil {
 		limits = c.table.Config.Services
@@ -325,7 +326,7 @@
 	}
 	e.mu.Lock()
 	e.balancer.Update(now, list, limits, c.zonesOut, c.sharers)
-	e.budget.SetShare(now, c.budgetShare())
+	e.budget.SetShare(now, dgroster.AllowanceShare(e.opt.Settings.VM, c.nominal, c.memberCount))
 	e.mu.Unlock()
 	e.forward.Retain(ids)
 	c.publish()
@@ -363,7 +364,7 @@
 	c.sendHeartbeats()
 	c.updateRoster(now)
 	c.hintFollowers(now)
-	if c.nextExpiry > 0 && now >= c.nextExpiry || !slices.Equal(c.sharers, c.connectionSharers()) {
+	if c.nextExpiry > 0 && now >= c.nextExpiry || !slices.Equal(c.sharers, dgroster.ConnectionSharers(c.onRoster, c.nominal)) {
 		c.propagate()
 	} else {
 		c.publish()
--- a/dgedge/roster.go
+++ b/dgedge/roster.go
@@ -50,7 +50,7 @@
 		c.e.log.event("roster changed").Str("Rule", "S3").Int("Present", len(present)).Int("Registered", len(registered)).
 			Bool("Self", slices.Contains(onRoster, self.VM)).Float64("AttemptsPerSecond", attempts).Strs("VMs", names(onRoster)).Send()
 	}
-	c.onRoster = onRoster
+	c.onRoster, c.memberCount = onRoster, len(registered)
 	var calm dgroster.Roster // without demand, so that all VMs agree
 	c.nominal = calm.Choose(registered, c.near)
 	hubs := c.roster.Hubs(registered, c.near, func(vm dandeliongap.VMName) bool {
@@ -93,44 +93,3 @@
 	}
 	return out
 }
-
-// connectionSharers returns the VMs among which the connections to replicas are divided:
-// those on the roster and, if these are less than half of the VMs that would be on it if
-// all were present, enough others of these to make up half. Even if VMs disagree about
-// which VMs are present, the tier as a whole then uses at most twice the connections that
-// are divided.
-func (c *control) connectionSharers() []dandeliongap.VMName {
-	out := slices.Clone(c.onRoster)
-	for _, vm := range c.nominal {
-		if 2*len(out) >= len(c.nominal) {
-			break
-		}
-		if !slices.Contains(out, vm) {
-			out = append(out, vm)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// rosterBudget is the share of the common allowance of extra requests that the VMs on the
-// roster have. The others have the rest for the callers that reach them all the same.
-const rosterBudget = 0.8
-
-// budgetShare returns this VM's share of the common allowance of extra requests. It
-// depends on the registrations only, so that the shares of all VMs add up to at most 1
-// even while VMs disagree about which VMs are present.
-func (c *control) budgetShare() float64 {
-	all := len(c.members)
-	if _, ok := c.members[c.e.opt.Settings.VM]; !ok {
-		all++
-	}
-	switch n := len(c.nominal); {
-	case n >= all:
-		return 1 / float64(all)
-	case slices.Contains(c.nominal, c.e.opt.Settings.VM):
-		return rosterBudget / float64(n)
-	default:
-		return (1 - rosterBudget) / float64(all-n)
-	}
-}
--- a/dgroster/dgroster_test.go
+++ b/dgroster/dgroster_test.go
@@ -147,3 +147,33 @@
 		})
 	})
 })
+
+var _ = Describe("what the VMs share", func() {
+	It("adds up to the whole allowance of extra requests at most, and most of it is on the roster", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := tier(rapid.IntRange(1, 12).Draw(t, "per zone"), "a", "b", "c", "d", "e")
+			var r dgroster.Roster
+			nominal := r.Choose(all, near)
+			sum, onRoster := 0.0, 0.0
+			for _, c := range all {
+				share := dgroster.AllowanceShare(c.VM, nominal, len(all))
+				sum += share
+				if slices.Contains(nominal, c.VM) {
+					onRoster += share
+				}
+			}
+			if sum > 1+1e-9 || onRoster < 0.8-1e-9 {
+				t.Fatalf("shares add up to %g, of VMs on the roster to %g", sum, onRoster)
+			}
+		})
+	})
+	It("divides the connections among at least half of the nominal roster (guards against VMs that are cut off from the others and use the connections of all)", func() {
+		var r dgroster.Roster
+		all := tier(12, "a", "b", "c", "d", "e")
+		nominal := r.Choose(all, nil)
+		alone := dgroster.ConnectionSharers(nominal[:1], nominal)
+		Expect(alone).To(HaveLen((len(nominal) + 1) / 2))
+		Expect(alone).To(ContainElement(nominal[0]))
+		Expect(dgroster.ConnectionSharers(nominal, nominal)).To(Equal(nominal))
+	})
+})
