--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -22,6 +22,23 @@
 // NextWatchDelay exports nextWatchDelay for tests.
 var NextWatchDelay = nextWatchDelay
 
+// Unpack decodes a datagram and returns the number of heartbeats in it.
+func Unpack(datagram []byte) (int, error) {
+	var u unpacker
+	g, err := u.unpack(datagram)
+	return len(g.Beats), err
+}
+
+// Pack returns the datagram for heartbeats.
+func Pack(heartbeats []dgpresence.Heartbeat) []byte {
+	var p packer
+	b, err := p.pack(gossipMessage{Beats: heartbeats})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // DatagramSize returns the size of the datagram for heartbeats and a digest, in bytes.
 func DatagramSize(heartbeats []dgpresence.Heartbeat, digest uint64) int {
 	var p packer
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -116,16 +116,25 @@
 	f.sendHint()
 }
 
-// newerSources returns the gossip addresses of the VMs that have newer changes of a
-// kind than this VM.
+// newerSources returns the gossip addresses of the hubs that have newer changes of a
+// kind than this VM: of those in its own availability zone if there are any, because
+// traffic between zones costs money.
 func (c *control) newerSources(now dandeliongap.Instant, kind string) []string {
-	var out []string
+	var near, far []string
 	for _, hb := range c.presence.Hubs(now) {
-		if m, ok := c.members[hb.VM]; ok && hb.Seen[kind] > c.completeUpTo[kind] {
-			out = append(out, m.Gossip)
+		m, ok := c.members[hb.VM]
+		switch {
+		case !ok || hb.Seen[kind] <= c.completeUpTo[kind]:
+		case m.Zone == c.e.opt.Settings.Zone:
+			near = append(near, m.Gossip)
+		default:
+			far = append(far, m.Gossip)
 		}
 	}
-	return out
+	if len(near) > 0 {
+		return near
+	}
+	return far
 }
 
 // lastSenderAddr returns the address of the VM that sent the last heartbeats, or "" if
