--- a/dgroster/dgroster.go
+++ b/dgroster/dgroster.go
@@ -56,7 +56,7 @@
 	demandHalfLife = 20 * time.Second
 	// CoreSecondsPerAttempt is the processor time that a VM takes to send a request to
 	// a replica and to read its response, callers' side included.
-	CoreSecondsPerAttempt = 80e-6
+	CoreSecondsPerAttempt = 100e-6
 )
 
 // Candidate is a VM that may be on the roster (S1).
