--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -294,6 +294,9 @@
 		c.e.log.event("store lost").Str("Kind", b.kind).Dur("Age", c.e.now().Sub(c.lastStoreAnswer)).Err(b.err).Send()
 	}
 	c.failingKinds[b.kind] = true
+	if b.kind == dandeliongap.KindRoutes {
+		c.publish() // from now on an unknown route is refused temporarily (dgadmit A2)
+	}
 	c.shortWaitsUntil.Store(int64(c.e.now().Add(shortWaitPeriod)))
 }
 
