Send control state between VMs in packed form

Change: pulls are gob, compressed, packed once for all that ask for the same changes; VMs of earlier versions still get JSON.

--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -57,6 +57,7 @@
 	latestSettings atomic.Pointer[Settings] // see Reload for those that take effect without a restart
 	view           atomic.Pointer[view]
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
+	packed         packedCache    // of mirror
 	control        *control
 	draining       atomic.Bool // Drain has been called; no longer ready
 	refusing       atomic.Bool // new requests are refused
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -41,13 +41,20 @@
 		ctx.Error("not all control state is confirmed yet", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := json.Marshal(s)
+	contentType := "application/json" // for VMs of earlier versions
+	var body []byte
+	if ctx.QueryArgs().GetBool("Packed") {
+		contentType = packedType
+		body, err = e.packed.pack(kind, dandeliongap.Version(since), s)
+	} else {
+		body, err = json.Marshal(s)
+	}
 	if err != nil {
 		ctx.Error(err.Error(), http.StatusInternalServerError)
 		return
 	}
 	e.stats.add("PullsServed")
-	ctx.SetContentType("application/json")
+	ctx.SetContentType(contentType)
 	ctx.SetBody(body)
 }
 
@@ -85,7 +92,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(addr)
-	req.SetRequestURI(fmt.Sprintf("%s?Kind=%s&Since=%d", changesPath, url.QueryEscape(kind), since))
+	req.SetRequestURI(fmt.Sprintf("%s?Kind=%s&Since=%d&Packed=1", changesPath, url.QueryEscape(kind), since))
 	deadline, _ := ctx.Deadline()
 	if _, err := transport.Do(ctx, req, resp, deadline); err != nil {
 		return dgwatch.State{}, err
@@ -94,7 +101,13 @@
 		return dgwatch.State{}, fmt.Errorf("VM at %s: status %d: %w", addr, resp.StatusCode(), dandeliongap.ErrUnreachable)
 	}
 	var s dgwatch.State
-	if err := json.Unmarshal(resp.Body(), &s); err != nil {
+	var err error
+	if string(resp.Header.ContentType()) == packedType {
+		s, err = unpackState(resp.Body())
+	} else {
+		err = json.Unmarshal(resp.Body(), &s)
+	}
+	if err != nil {
 		return dgwatch.State{}, fmt.Errorf("VM at %s: %w: %w", addr, dandeliongap.ErrInvalid, err)
 	}
 	return s, nil
