Do not send a request that was cancelled while its connection was opened

The request was then sent although its caller had left. Ruled out: a slow stand-in; the status of the response was "answered".

Change: Send checks the context once more when it has a connection, which becomes idle.

--- a/dgbackend/client_test.go
+++ b/dgbackend/client_test.go
@@ -57,6 +57,19 @@
 	return nil
 }
 
+// cancelledWhileDialing is a context that has ended by the time Send waits for a new
+// connection, and makes that wait begin only after the connection is open.
+type cancelledWhileDialing struct {
+	cancelledAtConnect
+	dialed func() bool
+}
+
+func (c *cancelledWhileDialing) Done() <-chan struct{} {
+	Eventually(c.dialed, eventTimeout).Should(BeTrue())
+	time.Sleep(5 * time.Millisecond) // lets the dialing goroutine offer the connection
+	return c.cancelledAtConnect.Done()
+}
+
 // rawServer serves each connection with fn, for faults that an HTTP server cannot
 // produce. It returns the replica and the number of accepted connections.
 func rawServer(fn func(net.Conn, *bufio.Reader)) (replica *dandeliongap.Replica, accepted *atomic.Int64) {
@@ -333,6 +346,23 @@
 		Expect([]int64{n.Connections, n.ConnectionViolations}).To(Equal([]int64{1, 0}))
 	})
 
+	// Once in CI the connection was ready in the same moment in which the request was
+	// found cancelled, and the request was sent all the same.
+	It("does not send a request that was cancelled before its new connection was ready", func() {
+		const tries = 20 // a choice at random passes all of them in one of a million runs
+		for i := range tries {
+			start(options(1, 1))
+			ctx := &cancelledWhileDialing{
+				cancelledAtConnect: cancelledAtConnect{Context: context.Background()},
+				dialed:             func() bool { return b.OpenConnections() == 1 },
+			}
+			a := c.Send(ctx, r, searchRequest())
+			Expect([]any{a.Status, a.Reason}).To(Equal([]any{dandeliongap.SubNotRun, dandeliongap.ReasonCancelled}))
+			Expect(b.Counters().Received).To(BeZero())
+			Eventually(func() int64 { return c.Stats().Idle }, eventTimeout).Should(BeEquivalentTo(i + 1))
+		}
+	})
+
 	It("opens missing connections in advance and keeps as many as there are slots", func() {
 		start(options(3, 30))
 		Expect(send(searchRequest()).Status).To(Equal(dandeliongap.SubAnswered))
--- a/dgbackend/send.go
+++ b/dgbackend/send.go
@@ -64,6 +64,10 @@
 	if reason != dandeliongap.ReasonNone {
 		return notRun(reason)
 	}
+	if ctx.Err() != nil { // the connection and the cancellation came at the same time
+		p.release(cn)
+		return notRun(dandeliongap.ReasonCancelled)
+	}
 	return p.exchange(ctx, r, cn, req, deadline)
 }
 
