Send heartbeats between VMs in a short form

Heartbeats of all hubs travelled as compressed JSON, with names and versions, to three hubs each 250 ms, and every question of a VM that stands by cost some 400 B.

Ruled out by trials of the same test: relaying the long form a bounded number of times (at the start of a tier every heartbeat is new), asking hubs less often (a lost hub is missed later), and pushing changes to those that asked last (the loss of the hub that was asked shows later).

Change: dgpresence V6. A process is named by a hash of its name and start, which registrations tell; a heartbeat takes five bytes; a VM asks the sender about a process that is not registered and gets the long form. A hub passes on only what is newer than its message before. The digest of a question includes the newest versions, so that a confirmation takes eight bytes. Questions are spread over the hubs of a zone by the places of the VMs. VMs whose registration lacks ShortForm get the long form as before.

The tests of detection pass with their bounds, with both forms.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -72,25 +72,21 @@
 	near        dgroster.Nearness
 	onRoster    []dandeliongap.VMName // VMs that serve callers
 	hubs        []dandeliongap.VMName
-	polls       int                    // number of questions to hubs so far
-	ticks       int                    // number of heartbeat intervals so far
-	own         []dgpresence.Heartbeat // heartbeat of this VM, as of the last tick
-	reply, same []byte                 // replies to the questions of VMs that stand by; nil: to be encoded
-	digest      uint64                 // of the hubs in reply
-	memberCount int                    // number of registered VMs, this one included
-	nominal     []dandeliongap.VMName  // VMs that would be on the roster if all were present
-	rate        float64                // attempts per second that this VM starts
-	rateStarted int64                  // attempts started up to rateAt
+	questions   int                   // number of questions to hubs so far
+	ticks       int                   // number of heartbeat intervals so far
+	memberCount int                   // number of registered VMs, this one included
+	nominal     []dandeliongap.VMName // VMs that would be on the roster if all were present
+	rate        float64               // attempts per second that this VM starts
+	rateStarted int64                 // attempts started up to rateAt
 	rateAt      dandeliongap.Instant
 
-	followers       map[string]*follower
-	newestApplied   map[string]dandeliongap.Version // by kind: version of the newest applied change
-	completeUpTo    map[string]dandeliongap.Version // by kind: all changes up to this version are applied
-	newestElsewhere map[string]dandeliongap.Version // by kind: newest change that another VM reported
-	behindSince     map[string]dandeliongap.Instant // by kind: when another VM was found to have a newer change, or when the last hint was sent
-	presentOthers   atomic.Int64                    // number of other hubs that are alive
-	currentRole     atomic.Int32                    // a dgwatch.Role
-	lastSender      atomic.Pointer[string]          // address that sent the last heartbeats
+	followers     map[string]*follower
+	newestApplied map[string]dandeliongap.Version // by kind: version of the newest applied change
+	completeUpTo  map[string]dandeliongap.Version // by kind: all changes up to this version are applied
+	behindSince   map[string]dandeliongap.Instant // by kind: when another VM was found to have a newer change, or when the last hint was sent
+	presentOthers atomic.Int64                    // number of other hubs that are alive
+	currentRole   atomic.Int32                    // a dgwatch.Role
+	lastSender    atomic.Pointer[string]          // address that sent the last heartbeats
 	// readersFailing is set while this VM pulls changes and all of the first
 	// dgwatch.ReaderCount VMs report that their calls to the store fail (dgwatch W2).
 	readersFailing  bool
@@ -126,13 +122,12 @@
 		memberSince:     make(map[dandeliongap.VMName]dandeliongap.Instant),
 		failingKinds:    make(map[string]bool),
 
-		followers:       make(map[string]*follower),
-		newestApplied:   make(map[string]dandeliongap.Version),
-		completeUpTo:    make(map[string]dandeliongap.Version),
-		newestElsewhere: make(map[string]dandeliongap.Version),
-		behindSince:     make(map[string]dandeliongap.Instant),
-		answered:        make(chan struct{}),
-		membersKnown:    make(chan struct{}),
+		followers:     make(map[string]*follower),
+		newestApplied: make(map[string]dandeliongap.Version),
+		completeUpTo:  make(map[string]dandeliongap.Version),
+		behindSince:   make(map[string]dandeliongap.Instant),
+		answered:      make(chan struct{}),
+		membersKnown:  make(chan struct{}),
 	}
 	c.listenGossip()
 	return c
@@ -237,24 +232,18 @@
 	}
 }
 
-// applyHeartbeats applies the heartbeats of a datagram.
+// applyHeartbeats applies the content of a datagram and replies to it.
 func (c *control) applyHeartbeats(g gossip) {
 	now := c.e.now()
-	switch {
-	case g.Reply && c.standby.Load():
-		c.presence.MergeReply(now, g.Beats)
-		if g.Same {
-			c.presence.Confirm(now)
-		}
-	default:
-		c.presence.Merge(now, g.Beats)
-	}
-	for _, hb := range g.Beats {
-		if hb.Poll {
-			c.answerPoll(now, g)
+	if g.short == nil {
+		c.presence.Merge(now, g.long)
+	} else {
+		replies, long := c.presence.Receive(now, *g.short)
+		for _, m := range replies {
+			c.sendDatagram(encodeShort(m), g.from)
 		}
-		for kind, v := range hb.Seen {
-			c.newestElsewhere[kind] = max(c.newestElsewhere[kind], v)
+		if len(long) > 0 {
+			c.sendDatagram(c.pack(long), g.from)
 		}
 	}
 	c.hintFollowers(now)
@@ -266,8 +255,9 @@
 // other VMs they get it immediately. It is repeated after each further maxBehind.
 func (c *control) hintFollowers(now dandeliongap.Instant) {
 	for kind, f := range c.followers {
+		newest := c.presence.Newest(kind)
 		switch {
-		case c.newestElsewhere[kind] <= c.completeUpTo[kind] || !c.confirmed[kind]:
+		case newest <= c.completeUpTo[kind] || !c.confirmed[kind]:
 			delete(c.behindSince, kind)
 		case c.behindSince[kind] == 0:
 			c.behindSince[kind] = now
@@ -277,7 +267,7 @@
 			f.setSources(c.newerSources(now, kind))
 		case now.Sub(c.behindSince[kind]) > maxBehind:
 			c.behindSince[kind] = now
-			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Complete", uint64(c.completeUpTo[kind])).Uint64("Others", uint64(c.newestElsewhere[kind])).Send()
+			c.e.log.event("behind").Str("Rule", "F2").Str("Kind", kind).Uint64("Complete", uint64(c.completeUpTo[kind])).Uint64("Others", uint64(newest)).Send()
 			f.setSources(c.newerSources(now, kind))
 		}
 	}
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -22,29 +22,33 @@
 // NextWatchDelay exports nextWatchDelay for tests.
 var NextWatchDelay = nextWatchDelay
 
-// Unpack decodes a datagram and returns the number of heartbeats in it.
+// Unpack decodes a datagram in either form and returns the number of heartbeats in it.
 func Unpack(datagram []byte) (int, error) {
+	if isShort(datagram) {
+		m, err := decodeShort(datagram)
+		if err != nil {
+			return 0, err
+		}
+		return 1 + len(m.Hubs), nil
+	}
 	var u unpacker
-	g, err := u.unpack(datagram)
-	return len(g.Beats), err
+	heartbeats, err := u.unpack(datagram)
+	return len(heartbeats), err
 }
 
-// Pack returns the datagram for heartbeats.
+// Pack returns the datagram for heartbeats in their long form.
 func Pack(heartbeats []dgpresence.Heartbeat) []byte {
 	var p packer
-	b, err := p.pack(gossipMessage{Beats: heartbeats})
+	b, err := p.pack(heartbeats)
 	if err != nil {
 		panic(err)
 	}
 	return b
 }
 
-// DatagramSize returns the size of the datagram for heartbeats and a digest, in bytes.
-func DatagramSize(heartbeats []dgpresence.Heartbeat, digest uint64) int {
-	var p packer
-	b, err := p.pack(gossipMessage{Beats: heartbeats, Digest: digest})
-	if err != nil {
-		panic(err)
-	}
-	return len(b)
-}
+// EncodeShort and DecodeShort export the short form for tests.
+var (
+	EncodeShort = encodeShort
+	DecodeShort = decodeShort
+	ErrShort    = errShort
+)
--- a/dgedge/fuzz_test.go
+++ b/dgedge/fuzz_test.go
@@ -27,6 +27,10 @@
 		f.Add(b.Bytes())
 	}
 	f.Add([]byte{0xff, 0})
+	for kind := dgpresence.Beat; kind.Valid(); kind++ {
+		f.Add(dgedge.EncodeShort(dgpresence.Message{Kind: kind, Count: 300, Hubs: []dgpresence.Brief{{Count: 7}, {Count: 8}}, Processes: []dgpresence.ProcessID{{1, 2, 3}}}))
+	}
+	f.Add([]byte{0x06, 1, 2, 3, 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		const maxHeartbeats = 1 << 19 // "{}," takes at least two bytes of the 1 MB that are decompressed
 		if n, err := dgedge.Unpack(datagram); err == nil && n > maxHeartbeats {
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -36,25 +36,20 @@
 	maxUnpackedBytes = 1 << 20
 )
 
-// gossipMessage is the content of a datagram.
-type gossipMessage struct {
+// longForm is the content of a datagram with heartbeats in their long form: compressed
+// JSON, which VMs of all versions read.
+type longForm struct {
 	Beats []dgpresence.Heartbeat
-	// Digest is that of the hubs that the sender of a question knows (dgpresence V5).
-	Digest uint64 `json:",omitempty"`
-	// Reply reports that the message answers a question: with all hubs or, if Same is
-	// set, by confirming those that the digest of the question stands for.
-	Reply bool `json:",omitempty"`
-	Same  bool `json:",omitempty"`
 }
 
-// packer encodes and compresses datagrams. Its zero value is ready for use.
+// packer encodes and compresses heartbeats in their long form. Its zero value is ready for use.
 type packer struct {
 	b bytes.Buffer
 	w *flate.Writer // reused because a writer takes about 1 MB
 }
 
-// pack returns the datagram for a message. It is valid until the next call.
-func (p *packer) pack(g gossipMessage) ([]byte, error) {
+// pack returns the datagram with heartbeats. It is valid until the next call.
+func (p *packer) pack(heartbeats []dgpresence.Heartbeat) ([]byte, error) {
 	p.b.Reset()
 	if p.w == nil {
 		w, err := flate.NewWriter(&p.b, flate.BestSpeed)
@@ -65,25 +60,27 @@
 	} else {
 		p.w.Reset(&p.b)
 	}
-	if err := json.NewEncoder(p.w).Encode(g); err != nil {
+	if err := json.NewEncoder(p.w).Encode(longForm{heartbeats}); err != nil {
 		return nil, err
 	}
 	err := p.w.Close()
 	return p.b.Bytes(), err
 }
 
-// unpacker decompresses and decodes datagrams. Its zero value is ready for use.
+// unpacker decompresses and decodes heartbeats in their long form. Its zero value is ready
+// for use.
 type unpacker struct{ r io.ReadCloser }
 
-func (u *unpacker) unpack(datagram []byte) (g gossipMessage, err error) {
+func (u *unpacker) unpack(datagram []byte) ([]dgpresence.Heartbeat, error) {
 	src := bytes.NewReader(datagram)
 	if u.r == nil {
 		u.r = flate.NewReader(src)
 	} else if err := u.r.(flate.Resetter).Reset(src, nil); err != nil {
-		return gossipMessage{}, err
+		return nil, err
 	}
-	err = json.NewDecoder(io.LimitReader(u.r, maxUnpackedBytes)).Decode(&g)
-	return g, err
+	var l longForm
+	err := json.NewDecoder(io.LimitReader(u.r, maxUnpackedBytes)).Decode(&l)
+	return l.Beats, err
 }
 
 // receiveHeartbeats passes the heartbeats of other VMs to the control goroutine
@@ -100,27 +97,33 @@
 			c.e.stats.add("GossipErrors")
 			continue
 		}
-		msg, err := u.unpack(buf[:n])
+		var g gossip
+		if isShort(buf[:n]) {
+			g.short, err = decodeShort(buf[:n])
+		} else {
+			g.long, err = u.unpack(buf[:n])
+		}
 		if err != nil {
 			c.e.stats.add("GossipUnreadable")
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		sender := from.String()
+		g.from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		sender := g.from.String()
 		c.lastSender.Store(&sender)
 		c.e.stats.addN("GossipBytesReceived", int64(n))
 		select {
-		case c.heartbeats <- gossip{msg, from}:
+		case c.heartbeats <- g:
 		default:
 			c.e.stats.add("GossipDropped")
 		}
 	}
 }
 
-// gossip is the content of a datagram and its sender.
+// gossip is the content of a datagram, in one of the two forms, and its sender.
 type gossip struct {
-	gossipMessage
-	from netip.AddrPort
+	short *dgpresence.Message // nil: long holds the content
+	long  []dgpresence.Heartbeat
+	from  netip.AddrPort
 }
 
 // sendHeartbeats sends the heartbeats of a hub to the hubs that dgpresence selects. A VM
@@ -136,7 +139,6 @@
 	if c.udp == nil {
 		return
 	}
-	c.own, c.reply = heartbeats[:1], nil
 	var hubs []dandeliongap.EdgeMember
 	for _, vm := range c.hubs {
 		if m, ok := c.members[vm]; ok && vm != self {
@@ -145,55 +147,56 @@
 		}
 	}
 	if !standby {
-		datagram := c.pack(gossipMessage{Beats: heartbeats})
+		short := encodeShort(c.presence.Beat(now))
 		for _, m := range dgpresence.SelectPeers(c.rng, c.e.opt.Settings.Zone, hubs) {
-			c.sendTo(m, datagram)
+			c.sendTo(m, short, heartbeats)
 		}
 		return
 	}
-	if c.polls > 0 && c.ticks%int(dgpresence.PollInterval/dgpresence.HeartbeatInterval) != 0 {
+	if c.questions > 0 && c.ticks%int(dgpresence.PollInterval/dgpresence.HeartbeatInterval) != 0 {
 		return
 	}
-	if hub, ok := dgpresence.SelectHub(c.polls, c.e.opt.Settings.Zone, hubs); ok {
-		c.polls++
-		c.sendTo(hub, c.pack(gossipMessage{Beats: c.presence.Poll(), Digest: c.presence.Digest(now)}))
+	if hub, ok := dgpresence.SelectHub(c.questions+c.placeInZone(), c.e.opt.Settings.Zone, hubs); ok {
+		c.questions++
+		c.sendTo(hub, encodeShort(c.presence.Question(now)), heartbeats[:1])
 	}
 }
 
-// answerPoll replies to the question of a VM that stands by (dgpresence V5).
-func (c *control) answerPoll(now dandeliongap.Instant, g gossip) {
-	if len(c.own) == 0 || c.standby.Load() {
-		return // a VM that is no hub any more, or not yet, knows too little
-	}
-	if c.reply == nil { // the first question since the last heartbeat
-		c.digest = c.presence.Digest(now)
-		c.reply = c.pack(gossipMessage{Beats: append(slices.Clone(c.own), c.presence.Hubs(now)...), Reply: true})
-		c.same = c.pack(gossipMessage{Beats: c.own, Reply: true, Same: true})
-	}
-	if g.Digest == c.digest {
-		c.sendDatagram(c.same, g.from)
-	} else {
-		c.sendDatagram(c.reply, g.from)
+// placeInZone returns the number of VMs that stand by in the zone of this VM and whose
+// names are before its own.
+func (c *control) placeInZone() (place int) {
+	s := c.e.opt.Settings
+	for vm, m := range c.members {
+		if m.Zone == s.Zone && vm < s.VM && !slices.Contains(c.hubs, vm) {
+			place++
+		}
 	}
+	return place
 }
 
-// pack returns the datagram for a message, or nil if it cannot be encoded.
-func (c *control) pack(m gossipMessage) []byte {
-	datagram, err := c.packer.pack(m)
+// pack returns the datagram with heartbeats in their long form, or nil if they cannot be
+// encoded.
+func (c *control) pack(heartbeats []dgpresence.Heartbeat) []byte {
+	datagram, err := c.packer.pack(heartbeats)
 	if err != nil {
 		c.e.log.event("cannot encode heartbeats").Err(err).Send()
 		return nil
 	}
-	return bytes.Clone(datagram)
+	return datagram
 }
 
-func (c *control) sendTo(m dandeliongap.EdgeMember, datagram []byte) {
+// sendTo sends a datagram, or the heartbeats in their long form if the VM does not read
+// the short one.
+func (c *control) sendTo(m dandeliongap.EdgeMember, short []byte, long []dgpresence.Heartbeat) {
 	addr, err := netip.ParseAddrPort(m.Gossip)
 	if err != nil {
 		c.e.stats.add("GossipUnsent")
 		return
 	}
-	c.sendDatagram(datagram, addr)
+	if !m.ShortForm {
+		short = c.pack(long)
+	}
+	c.sendDatagram(short, addr)
 }
 
 func (c *control) sendDatagram(datagram []byte, to netip.AddrPort) {
--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -46,6 +46,11 @@
 		}
 		c.e.log.event("member changed").Str("Member", string(vm)).Bool("Removed", o.Deleted).Str("Entry", m.Entry).Send()
 	}
+	boots := make(map[dandeliongap.VMName]int64, len(c.members))
+	for vm, m := range c.members {
+		boots[vm] = m.Boot
+	}
+	c.presence.SetRegistered(boots)
 	if own, ok := c.members[c.e.opt.Settings.VM]; !ok || own.Boot != c.e.boot {
 		c.regMu.Lock()
 		c.registered = false
@@ -125,7 +130,7 @@
 // again whenever applyMembers finds that it is missing.
 func (c *control) keepRegistered() {
 	s := c.e.opt.Settings
-	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot, Cores: s.Cores})
+	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot, Cores: s.Cores, ShortForm: true})
 	if err != nil {
 		c.e.log.event("registration failed").Err(err).Send()
 		return
--- a/dgedge/traffic_test.go
+++ b/dgedge/traffic_test.go
@@ -29,9 +29,22 @@
 	}
 	var roster dgroster.Roster
 	hubs := roster.Hubs(candidates, nil, func(dandeliongap.VMName) bool { return false })
+	place := make(map[dandeliongap.VMName]int) // of those that stand by, in their zone
+	standbys := make(map[dandeliongap.ZoneName]int)
+	for _, c := range candidates {
+		if !slices.Contains(hubs, c.VM) {
+			place[c.VM] = standbys[c.Zone]
+			standbys[c.Zone]++
+		}
+	}
 	views := make(map[dandeliongap.VMName]*dgpresence.View)
+	boots := make(map[dandeliongap.VMName]int64)
 	for vm := range members {
-		views[vm] = dgpresence.New(vm, rng.Int64())
+		boots[vm] = rng.Int64()
+		views[vm] = dgpresence.New(vm, boots[vm])
+	}
+	for _, v := range views {
+		v.SetRegistered(boots)
 	}
 	others := func(self dandeliongap.VMName) (out []dandeliongap.EdgeMember) {
 		for _, vm := range hubs {
@@ -41,43 +54,40 @@
 		}
 		return out
 	}
-	latest := make(map[dandeliongap.VMName]dgpresence.Heartbeat)
 	bytes := make(map[dandeliongap.VMName]int)
-	send := func(from, to dandeliongap.VMName, size int) {
-		bytes[from] += size
-		bytes[to] += size
+	count := func(a, b dandeliongap.VMName, size int) {
+		bytes[a] += size
+		bytes[b] += size
+	}
+	var send func(now dandeliongap.Instant, from, to dandeliongap.VMName, m dgpresence.Message)
+	send = func(now dandeliongap.Instant, from, to dandeliongap.VMName, m dgpresence.Message) {
+		count(from, to, len(dgedge.EncodeShort(m)))
+		replies, long := views[to].Receive(now, m)
+		for _, reply := range replies {
+			send(now, to, from, reply)
+		}
+		if len(long) > 0 {
+			count(to, from, len(dgedge.Pack(long)))
+			views[from].Merge(now, long)
+		}
 	}
 	versions := map[string]dandeliongap.Version{dandeliongap.KindRoutes: 1234, dandeliongap.KindInstances: 56789, dandeliongap.KindZonesOut: 900, dandeliongap.KindMembers: 4321}
 	for round := range seconds * int(time.Second/dgpresence.HeartbeatInterval) {
 		now := dandeliongap.Instant(round+1) * dandeliongap.Instant(dgpresence.HeartbeatInterval)
 		for i, c := range candidates {
-			standby := !slices.Contains(hubs, c.VM)
-			heartbeats := views[c.VM].Tick(now, dgpresence.LocalStatus{Serving: true, Standby: standby, Attempts: 250, Seen: versions})
-			latest[c.VM] = heartbeats[0]
+			v, standby := views[c.VM], !slices.Contains(hubs, c.VM)
+			v.Tick(now, dgpresence.LocalStatus{Serving: true, Standby: standby, Attempts: 250, Seen: versions})
 			if !standby {
-				size := dgedge.DatagramSize(heartbeats, 0)
+				beat := v.Beat(now)
 				for _, m := range dgpresence.SelectPeers(rng, c.Zone, others(c.VM)) {
-					send(c.VM, m.VM, size)
-					views[m.VM].Merge(now, heartbeats)
+					send(now, c.VM, m.VM, beat)
 				}
 				continue
 			}
 			interval := int(dgpresence.PollInterval / dgpresence.HeartbeatInterval)
-			if (round+i)%interval != 0 {
-				continue
-			}
-			m, _ := dgpresence.SelectHub(round/interval, c.Zone, others(c.VM))
-			digest, poll := views[c.VM].Digest(now), views[c.VM].Poll()
-			send(c.VM, m.VM, dgedge.DatagramSize(poll, digest))
-			views[m.VM].Merge(now, poll)
-			own := latest[m.VM]
-			if digest == views[m.VM].Digest(now) {
-				send(m.VM, c.VM, dgedge.DatagramSize([]dgpresence.Heartbeat{own}, 0))
-				views[c.VM].Confirm(now)
-			} else {
-				reply := append([]dgpresence.Heartbeat{own}, views[m.VM].Hubs(now)...)
-				send(m.VM, c.VM, dgedge.DatagramSize(reply, 0))
-				views[c.VM].MergeReply(now, reply)
+			if (round+i)%interval == 0 {
+				m, _ := dgpresence.SelectHub(round/interval+place[c.VM], c.Zone, others(c.VM))
+				send(now, c.VM, m.VM, v.Question(now))
 			}
 		}
 	}
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -23,17 +23,16 @@
 //	    hub only confirms them. A hub that is missing from a reply is taken as lost, unless
 //	    the reply has less than half of the hubs that the VM knows: then the hub that
 //	    replied may have just started.
+//	V6  Heartbeats travel in a short form, which names a process by a hash. A VM finds
+//	    its name in the registrations. If it is missing there, it asks the sender,
+//	    which replies with the long form.
 package dgpresence
 
 import (
-	"cmp"
-	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
-	"github.com/cespare/xxhash/v2"
 )
 
 // LostAfter is the age of the newest heartbeat above which a VM counts as lost in a
@@ -66,7 +65,7 @@
 // PollInterval is the interval at which a VM that stands by asks a hub (V5).
 const PollInterval = 2 * HeartbeatInterval
 
-// Heartbeat is the state that one VM reports about itself. It is sent as JSON.
+// Heartbeat is the state that one VM reports about itself, in its long form.
 type Heartbeat struct {
 	VM      dandeliongap.VMName
 	Boot    int64  // start of the process in Unix nanoseconds
@@ -74,34 +73,44 @@
 	Serving bool   // accepts new callers
 	// Standby reports that the VM is not a hub.
 	Standby bool `json:",omitempty"`
-	// Poll asks the receiver to reply with the heartbeats that it has.
-	Poll bool `json:",omitempty"`
 	// StoreFailing reports that the VM's calls to the store fail.
 	StoreFailing bool `json:",omitempty"`
-	// Attempts is the number of attempts per second that the VM starts at replicas.
+	// Attempts is the number of attempts per second that the VM starts at replicas. The
+	// short form of a heartbeat has it with a precision of 20%.
 	Attempts uint32 `json:",omitempty"`
 	// Seen is the version of the newest change that the VM uses, for each kind of
-	// control state.
+	// control state. It is nil if only others passed the heartbeat on.
 	Seen map[string]dandeliongap.Version `json:",omitempty"`
 }
 
 type peer struct {
+	id        ProcessID // of heartbeat
 	heartbeat Heartbeat
+	passedOn  uint64               // Count of the heartbeat that was last passed on in a Beat
 	updatedAt dandeliongap.Instant // when the newest heartbeat arrived
 }
 
 // View holds the heartbeats that one VM has received from the others. It is not safe
 // for concurrent use.
 type View struct {
-	self     Heartbeat
-	peers    map[dandeliongap.VMName]*peer
-	lastTick dandeliongap.Instant
-	tierSize int // number of hubs, this VM included
+	self      Heartbeat
+	id        ProcessID // of self
+	peers     map[dandeliongap.VMName]*peer
+	lastTick  dandeliongap.Instant
+	tierSize  int                             // number of hubs, this VM included
+	newest    map[string]dandeliongap.Version // newest change that any VM has reported, by kind of control state
+	processes map[ProcessID]process           // of registered VMs and of peers
+	requested map[ProcessID]bool              // unknown processes that the VM has asked about since the last tick
 }
 
 // New returns the empty view of a VM. boot is the value for Heartbeat.Boot.
 func New(vm dandeliongap.VMName, boot int64) *View {
-	return &View{self: Heartbeat{VM: vm, Boot: boot}, peers: make(map[dandeliongap.VMName]*peer)}
+	v := &View{
+		self: Heartbeat{VM: vm, Boot: boot}, id: ProcessIDOf(vm, boot),
+		peers: make(map[dandeliongap.VMName]*peer), newest: make(map[string]dandeliongap.Version),
+	}
+	v.SetRegistered(nil)
+	return v
 }
 
 // LocalStatus is the part of the own heartbeat that the caller provides. The fields
@@ -114,8 +123,9 @@
 	Seen         map[string]dandeliongap.Version
 }
 
-// Tick increments the own counter and returns the heartbeats to send: the own one
-// first, then the newest ones of the other hubs that are present. It must be called at
+// Tick increments the own counter and returns the heartbeats of the hubs in their long
+// form, for VMs that do not read the short form: the own one first, then the newest ones
+// of the other hubs that are present. It must be called at
 // least once per HeartbeatInterval. A gap of more than two intervals counts as a pause
 // of this process (V3).
 func (v *View) Tick(now dandeliongap.Instant, status LocalStatus) []Heartbeat {
@@ -138,22 +148,35 @@
 	v.self.Serving, v.self.StoreFailing, v.self.Attempts = status.Serving, status.StoreFailing, status.Attempts
 	v.self.Standby = status.Standby
 	v.self.Seen = maps.Clone(status.Seen)
+	v.recordSeen(v.self)
+	v.requested = nil
 	return append([]Heartbeat{v.self}, v.Hubs(now)...)
 }
 
-// Poll returns the message by which a VM that stands by asks a hub (V5).
-func (v *View) Poll() []Heartbeat {
-	own := v.self
-	own.Poll = true
-	return []Heartbeat{own}
+// Newest returns the version of the newest change of a kind of control state that any VM
+// has reported, this one included.
+func (v *View) Newest(kind string) dandeliongap.Version { return v.newest[kind] }
+
+func (v *View) recordSeen(h Heartbeat) {
+	for kind, version := range h.Seen {
+		v.newest[kind] = max(v.newest[kind], version)
+	}
 }
 
 // Hubs returns the newest heartbeats of the other hubs that are present.
 func (v *View) Hubs(now dandeliongap.Instant) []Heartbeat {
 	var out []Heartbeat
+	for _, p := range v.hubs(now) {
+		out = append(out, p.heartbeat)
+	}
+	return out
+}
+
+// hubs returns the other hubs that are present.
+func (v *View) hubs(now dandeliongap.Instant) (out []*peer) {
 	for _, p := range v.peers {
 		if !p.heartbeat.Standby && now.Sub(p.updatedAt) <= v.lostAfter(p) {
-			out = append(out, p.heartbeat)
+			out = append(out, p)
 		}
 	}
 	return out
@@ -166,6 +189,7 @@
 		if h.VM == v.self.VM || h.VM == "" {
 			continue
 		}
+		v.recordSeen(h)
 		p := v.peers[h.VM]
 		if p == nil {
 			p = &peer{}
@@ -174,7 +198,12 @@
 		if h.Boot < p.heartbeat.Boot || h.Boot == p.heartbeat.Boot && h.Count <= p.heartbeat.Count {
 			continue
 		}
-		h.Poll = false // concerns only the message that it came in
+		if h.Boot != p.heartbeat.Boot || p.id == (ProcessID{}) {
+			p.id = ProcessIDOf(h.VM, h.Boot)
+			v.processes[p.id] = process{h.VM, h.Boot}
+		} else if h.Seen == nil {
+			h.Seen = p.heartbeat.Seen
+		}
 		p.heartbeat, p.updatedAt = h, now
 	}
 }
@@ -195,32 +224,14 @@
 	return age
 }
 
-// Digest identifies the hubs that are present, which of them accept callers, and their
-// processes. It includes this VM if it is a hub.
-func (v *View) Digest(now dandeliongap.Instant) uint64 {
-	hubs := v.Hubs(now)
-	if !v.self.Standby {
-		hubs = append(hubs, v.self)
-	}
-	slices.SortFunc(hubs, func(a, b Heartbeat) int { return cmp.Compare(a.VM, b.VM) })
-	d := xxhash.New()
-	for _, h := range hubs {
-		fmt.Fprintln(d, h.VM, h.Boot, h.Serving)
-	}
-	return d.Sum64()
-}
-
 // Confirm records that a hub has confirmed the hubs that are present (V5).
 func (v *View) Confirm(now dandeliongap.Instant) {
-	for _, p := range v.peers {
-		if !p.heartbeat.Standby && now.Sub(p.updatedAt) <= v.lostAfter(p) {
-			p.updatedAt = now
-		}
+	for _, p := range v.hubs(now) {
+		p.updatedAt = now
 	}
 }
 
-// MergeReply adds the heartbeats of a reply to Poll, which has all hubs that are present
-// (V5).
+// MergeReply adds the heartbeats of an Answer, which has all hubs that are present (V5).
 func (v *View) MergeReply(now dandeliongap.Instant, heartbeats []Heartbeat) {
 	known := v.Hubs(now)
 	v.Merge(now, heartbeats)
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -120,13 +120,17 @@
 // Guards against live VMs that are taken as lost in a large tier, where heartbeats
 // arrive through other VMs. Each false loss would change the directory and the budget
 // shares of all VMs.
-var _ = It("V1, V4: live VMs stay present in tiers of all sizes, and a stopped VM is taken as lost", func() {
+var _ = DescribeTable("V1, V4: live VMs stay present in tiers of all sizes, and a stopped VM is taken as lost", func(short bool) {
 	for _, n := range []int{6, 12, 62, 200} {
 		rng := rand.New(rand.NewPCG(1, uint64(n)))
 		all := tier(n)
 		views := make(map[dandeliongap.VMName]*dgpresence.View)
+		boots := make(map[dandeliongap.VMName]int64)
 		for _, m := range all {
-			views[m.VM] = dgpresence.New(m.VM, 1)
+			views[m.VM], boots[m.VM] = dgpresence.New(m.VM, 1), 1
+		}
+		for _, v := range views {
+			v.SetRegistered(boots)
 		}
 		const rounds, stopRound = 100, 80
 		for round := range rounds {
@@ -136,8 +140,13 @@
 					continue
 				}
 				heartbeats := views[m.VM].Tick(now, dgpresence.LocalStatus{Serving: true})
+				beat := views[m.VM].Beat(now)
 				for _, p := range dgpresence.SelectPeers(rng, m.Zone, append(slices.Clone(all[:i]), all[i+1:]...)) {
-					views[p.VM].Merge(now, heartbeats)
+					if short {
+						views[p.VM].Receive(now, beat)
+					} else {
+						views[p.VM].Merge(now, heartbeats)
+					}
 				}
 			}
 			if round < 20 { // until all VMs know each other
@@ -157,7 +166,10 @@
 			Expect(alive).To(BeFalse())
 		}
 	}
-})
+},
+	Entry("heartbeats in their long form", false),
+	Entry("heartbeats in their short form", true),
+)
 
 // Guards against VMs that stand by and lose sight of the hubs, or name a lost hub for
 // long, although each asks only one hub at a time.
@@ -169,9 +181,12 @@
 			standbys[i].VM = "standby-" + standbys[i].VM
 		}
 		views := make(map[dandeliongap.VMName]*dgpresence.View)
-		latest := make(map[dandeliongap.VMName]dgpresence.Heartbeat)
+		boots := make(map[dandeliongap.VMName]int64)
 		for _, m := range append(slices.Clone(hubs), standbys...) {
-			views[m.VM] = dgpresence.New(m.VM, 1)
+			views[m.VM], boots[m.VM] = dgpresence.New(m.VM, 1), 1
+		}
+		for _, v := range views {
+			v.SetRegistered(boots)
 		}
 		const rounds, stopRound, pollRounds = 120, 80, int(dgpresence.PollInterval / dgpresence.HeartbeatInterval)
 		lostBy := 0 // rounds after which every VM that stands by has noticed the lost hub
@@ -182,27 +197,23 @@
 				alive = hubs[1:]
 			}
 			for i, m := range alive {
-				heartbeats := views[m.VM].Tick(now, dgpresence.LocalStatus{Serving: true})
-				latest[m.VM] = heartbeats[0]
+				views[m.VM].Tick(now, dgpresence.LocalStatus{Serving: true})
+				beat := views[m.VM].Beat(now)
 				for _, p := range dgpresence.SelectPeers(rng, m.Zone, append(slices.Clone(alive[:i]), alive[i+1:]...)) {
-					views[p.VM].Merge(now, heartbeats)
+					views[p.VM].Receive(now, beat)
 				}
 			}
 			for i, m := range standbys {
 				v := views[m.VM]
 				v.Tick(now, dgpresence.LocalStatus{Serving: true, Standby: true})
 				if (round+i)%pollRounds == 0 {
-					hub, _ := dgpresence.SelectHub(round/pollRounds, m.Zone, slices.Clone(hubs))
+					hub, _ := dgpresence.SelectHub(i+round/pollRounds, m.Zone, slices.Clone(hubs))
 					if round >= stopRound && hub.VM == hubs[0].VM {
 						continue // no reply
 					}
-					hubView := views[hub.VM]
-					hubView.Merge(now, v.Poll())
-					if v.Digest(now) == hubView.Digest(now) {
-						v.Merge(now, []dgpresence.Heartbeat{latest[hub.VM]})
-						v.Confirm(now)
-					} else {
-						v.MergeReply(now, append([]dgpresence.Heartbeat{latest[hub.VM]}, hubView.Hubs(now)...))
+					replies, _ := views[hub.VM].Receive(now, v.Question(now))
+					for _, reply := range replies {
+						v.Receive(now, reply)
 					}
 				}
 				if round < 20 {
--- a/dgpresence/peers.go
+++ b/dgpresence/peers.go
@@ -22,7 +22,8 @@
 )
 
 // SelectHub selects the hub that a VM that stands by asks next (V5). turn counts its
-// questions. It returns false if there is no hub.
+// questions, from another number on each VM of a zone, so that they do not all ask the
+// same hub at the same time. It returns false if there is no hub.
 func SelectHub(turn int, zone dandeliongap.ZoneName, hubs []dandeliongap.EdgeMember) (dandeliongap.EdgeMember, bool) {
 	var near []dandeliongap.EdgeMember
 	for _, m := range hubs {
--- a/route.go
+++ b/route.go
@@ -84,6 +84,9 @@
 	Boot   int64  // start of the process, Unix nanoseconds
 	// Cores is the number of processor cores, which may be a fraction; 0: unknown.
 	Cores float64 `json:",omitempty"`
+	// ShortForm reports that the VM reads heartbeats in their short form (dgpresence V6).
+	// VMs of earlier versions do not.
+	ShortForm bool `json:",omitempty"`
 }
 
 // Kinds of control state that an EdgeStore holds.
