Soak the processes of the edge daemon under faults that a seed decides

Measured: each check is tested by a scene that breaks just its promise, and by one next to it that does not. Not covered yet: paths between VMs, clocks, two regions, a plot of the report.

--- a/cmd/dandeliongap/main.go
+++ b/cmd/dandeliongap/main.go
@@ -11,7 +11,9 @@
 	"syscall"
 
 	"dandeliongap.example/dandeliongap/dgcommand"
+	"dandeliongap.example/dandeliongap/dgsoak"
 	"dandeliongap.example/dandeliongap/platform"
+	"dandeliongap.example/dandeliongap/platform/dgfleet"
 	"github.com/alecthomas/kong"
 	"github.com/mattn/go-isatty"
 )
@@ -39,6 +41,7 @@
 		IsTerm: isatty.IsTerminal(os.Stdout.Fd()),
 
 		DecodeReport: platform.DecodeReport,
+		NewPlatform:  func() (dgsoak.Platform, error) { return dgfleet.NewPlatform() },
 	})
 	if err != nil && !errors.Is(err, dgcommand.ErrFailed) {
 		fmt.Fprintln(os.Stderr, "dandeliongap:", err)
--- a/dgcommand/command.go
+++ b/dgcommand/command.go
@@ -12,6 +12,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgclient"
+	"dandeliongap.example/dandeliongap/dgsoak"
 )
 
 // Exit codes of the command line.
@@ -41,6 +42,7 @@
 	Measure  MeasureCommand  `cmd:"" help:"Measure the decisions of the request path on a virtual clock against their targets."`
 	Capacity CapacityCommand `cmd:"" help:"Measure how the cost of one VM grows with the deployment, for docs/CAPACITY.md."`
 	Control  ControlCommand  `cmd:"" help:"Measure platform calls, bytes and the time of changes on an embedded cluster."`
+	Soak     SoakCommand     `cmd:"" help:"Inject faults into processes of the edge daemon and check its promises."`
 	Plot     PlotCommand     `cmd:"" help:"Draw reports of runs side by side."`
 	Standins StandinsCommand `cmd:"" name:"stand-ins" help:"Run the stand-ins of the platform and of all backend servers until interrupted."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
@@ -55,6 +57,8 @@
 	// DecodeReport decodes the report of one run of the benchmark that the
 	// platform's users run.
 	DecodeReport func([]byte) (dandeliongap.RunReport, error)
+	// NewPlatform starts a stand-in of the users' platform for a soak.
+	NewPlatform func() (dgsoak.Platform, error)
 }
 
 // VersionCommand prints the version.
--- /dev/null
+++ b/dgsoak/apply.go
@@ -0,0 +1,235 @@
+package dgsoak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// longestPause limits the pause of a process.
+	longestPause = 3 * time.Second
+	// callerDelay and serverDelay are how late data arrives on a slow path.
+	callerDelay, serverDelay = 150 * time.Millisecond, 60 * time.Millisecond
+	// leavingSlack is added to Bounds.Drain before a server that leaves is closed.
+	leavingSlack = time.Second
+	// addressReuse is the time after which the address of a server is used by another one.
+	addressReuse = 2 * time.Second
+	// registrationAge is the time after which the registration of a lost server is removed.
+	registrationAge = 3600 * time.Millisecond
+	// stormSize and stormInterval describe a quick succession of configurations.
+	stormSize, stormInterval = 6, 150 * time.Millisecond
+)
+
+// apply applies a step and undoes it when its time is over.
+func (s *soak) apply(step Step) {
+	v := s.vms[int(step.Target)%len(s.vms)]
+	if s.opt.Progress != nil {
+		s.opt.Progress(fmt.Sprintf("%.1f s %s for %.1f s, target %d, variant %d", time.Duration(s.now()).Seconds(), step.Kind, step.For.Seconds(), step.Target, step.Variant))
+	}
+	var err error
+	switch step.Kind {
+	case KillVM:
+		s.disturb(v.name, step, func() { s.replace(v, func() { v.kill() }) })
+	case StopVM:
+		s.replace(v, func() {
+			at := v.stop()
+			s.ledger.disturbed(Disturbance{v.name, at, s.now().Add(restartDelay), step.Kind.String()})
+		})
+	case PauseVM:
+		s.disturb(v.name, step, func() {
+			v.signal(syscall.SIGSTOP, false)
+			time.Sleep(min(step.For, longestPause))
+			v.signal(syscall.SIGCONT, false)
+		})
+	case ReloadVM:
+		v.reload()
+	case KillAll:
+		s.disturb("", step, func() {
+			var wg conc.WaitGroup
+			for _, v := range s.vms {
+				wg.Go(func() { s.replace(v, func() { v.kill() }) })
+			}
+			wg.Wait()
+		})
+	case FaultStore:
+		s.disturb("", step, func() {
+			s.opt.Platform.SetStoreFault(step.storeFault())
+			time.Sleep(step.For)
+			s.opt.Platform.SetStoreFault(StoreSound)
+		})
+	case ForgetHistory:
+		s.disturb("", step, s.opt.Platform.ForgetHistory)
+	case CutStore:
+		s.disturb(v.name, step, func() { s.faultPath(v.store, silence(step), step.For) })
+	case ResetStore:
+		s.disturb(v.name, step, v.store.reset)
+	case DelayCallers:
+		s.disturb(v.name, step, func() { s.faultPath(v.entry, PathFault{Delay: callerDelay}, step.For) })
+	case ResetCallers:
+		s.disturb(v.name, step, v.entry.reset)
+	case SilenceAnswers:
+		s.disturb(v.name, step, func() { s.faultPath(v.entry, PathFault{SilentBack: true}, step.For) })
+	case ChangeConfig:
+		err = s.operator.publish(false)
+	case StormConfig:
+		for range stormSize {
+			err = s.operator.publish(false)
+			time.Sleep(stormInterval)
+		}
+	case Reshard:
+		err = s.operator.publish(true)
+	case WriteOddEntries:
+		s.opt.Platform.WriteOdd(int(step.Target))
+	case TakeOutZone:
+		err = s.takeOut(zones[int(step.Target)%len(zones)], step.For)
+	default:
+		err = s.applyToServer(step)
+	}
+	if err != nil {
+		s.ledger.found(Violation{"stand-in", s.now(), fmt.Sprintf("step %q: %v", step.Kind, err)})
+	}
+}
+
+// disturb runs a fault of a VM, or of all if vm is empty, and records it.
+func (s *soak) disturb(vm dandeliongap.VMName, step Step, fault func()) {
+	from := s.now()
+	fault()
+	s.ledger.disturbed(Disturbance{vm, from, s.now(), step.Kind.String()})
+}
+
+// replace ends the process of a VM with end and starts another one.
+func (s *soak) replace(v *vm, end func()) {
+	v.stepMu.Lock()
+	defer v.stepMu.Unlock()
+	end()
+	time.Sleep(restartDelay)
+	v.restart()
+}
+
+func (s *soak) faultPath(p *proxy, f PathFault, d time.Duration) {
+	p.setFault(f)
+	time.Sleep(d)
+	p.setFault(PathFault{})
+}
+
+// silence returns the fault of a path that is silent in one direction or in both.
+func silence(step Step) PathFault {
+	n := step.Variant % 3
+	return PathFault{SilentThere: n != 1, SilentBack: n != 0}
+}
+
+// takeOut takes a zone out of service for longer than the bound of an evacuation. Only one
+// zone is out at a time, as each service has servers in two.
+func (s *soak) takeOut(zone dandeliongap.ZoneName, d time.Duration) error {
+	s.zoneMu.Lock()
+	defer s.zoneMu.Unlock()
+	if err := s.opt.Platform.SetZoneOut(zone, true); err != nil {
+		return err
+	}
+	o := Outage{Zone: zone, From: s.now()}
+	time.Sleep(s.opt.Bounds.Evacuation + d)
+	o.To = s.now()
+	s.ledger.zoneOut(o)
+	return s.opt.Platform.SetZoneOut(zone, false)
+}
+
+// applyToServer applies a step that concerns backend servers.
+func (s *soak) applyToServer(step Step) error {
+	b := s.fleet.pick(step.Target)
+	in := b.instance
+	from := s.now()
+	defer func() {
+		s.ledger.serverFaulty(Disturbance{From: from, To: s.now(), What: step.Kind.String()})
+	}()
+	switch step.Kind {
+	case FaultServer:
+		s.faultServers([]*backend{b}, step)
+	case FaultService:
+		s.faultServers(s.fleet.ofService(in.Service), step)
+	case CutServer:
+		s.faultPath(b.path, silence(step), step.For)
+	case ResetServer:
+		b.path.reset()
+	case ThrottleServer:
+		s.faultPath(b.path, PathFault{Delay: serverDelay}, step.For)
+	case CrashServer:
+		if !s.fleet.retire(b) {
+			return nil
+		}
+		s.crash(b)
+		time.Sleep(min(step.For, addressReuse))
+		err := s.fleet.start(in.Service, in.Zone, b.path)
+		s.remove(b)
+		return err
+	case ReuseAddress:
+		if !s.fleet.retire(b) {
+			return nil
+		}
+		s.crash(b)
+		if err := s.fleet.start(in.Service, in.Zone, nil); err != nil {
+			return err
+		}
+		time.Sleep(addressReuse)
+		all := services()
+		err := s.fleet.start(all[int(step.Variant)%len(all)], in.Zone, b.path)
+		time.Sleep(registrationAge - addressReuse)
+		s.remove(b)
+		return err
+	case DrainServer, VanishServer, LeaveServer:
+		return s.leave(b, step.Kind)
+	}
+	return nil
+}
+
+func (s *soak) faultServers(list []*backend, step Step) {
+	for _, b := range list {
+		b.server.SetFault(step.serverFault())
+	}
+	time.Sleep(step.For)
+	for _, b := range list {
+		b.server.SetFault(ServerSound)
+	}
+}
+
+func (s *soak) crash(b *backend) {
+	_ = b.server.Close()
+	b.path.reset()
+}
+
+func (s *soak) remove(b *backend) {
+	s.opt.Platform.Deregister(b.instance.ID)
+	s.fleet.depart(b)
+}
+
+// leave replaces a backend server, which serves until callers must have left it.
+func (s *soak) leave(b *backend, kind Kind) error {
+	if !s.fleet.retire(b) {
+		return nil
+	}
+	if err := s.fleet.start(b.instance.Service, b.instance.Zone, nil); err != nil {
+		return err
+	}
+	switch kind {
+	case DrainServer:
+		draining := b.instance
+		draining.Draining = true
+		if err := s.opt.Platform.Register(draining); err != nil {
+			return err
+		}
+		s.fleet.depart(b)
+	case VanishServer:
+		s.remove(b)
+	case LeaveServer:
+		b.server.SetLeaving()
+	}
+	time.Sleep(s.opt.Bounds.Drain + leavingSlack)
+	if kind != VanishServer {
+		s.remove(b)
+	}
+	s.crash(b)
+	return nil
+}
--- /dev/null
+++ b/dgsoak/callers.go
@@ -0,0 +1,103 @@
+package dgsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+const (
+	// directoryRefresh is the time for which a caller keeps an answer of the directory.
+	directoryRefresh = 2 * time.Second
+	directoryTimeout = time.Second
+	// searchShare and fetchShare are the shares of the requests of these routes; the rest
+	// are orders.
+	searchShare, fetchShare = 0.6, 0.25
+)
+
+// deadlines are the times that callers wait for responses.
+var deadlines = map[dandeliongap.RouteName]time.Duration{
+	routeSearch: 1200 * time.Millisecond, routeFetch: 1500 * time.Millisecond, routeOrder: 2 * time.Second,
+}
+
+// callerState is one caller: it sends a request at a time.
+type callerState struct {
+	s         *soak
+	number    int
+	rng       *rand.Rand
+	caller    Caller
+	sent      int
+	known     []*vm // VMs that the directory named and that have not failed since
+	refreshAt dandeliongap.Instant
+}
+
+// run sends requests until the soak ends.
+func (c *callerState) run(interval time.Duration) {
+	defer func() { _ = c.caller.Close() }()
+	for !c.s.callersDone() {
+		begin := c.s.now()
+		c.send()
+		wait := time.Duration(c.rng.ExpFloat64()*float64(interval)) - c.s.now().Sub(begin)
+		time.Sleep(max(0, wait))
+	}
+}
+
+func (c *callerState) send() {
+	if c.s.now() >= c.refreshAt || len(c.known) == 0 {
+		c.refresh()
+	}
+	if len(c.known) == 0 {
+		return
+	}
+	v := c.known[c.rng.IntN(len(c.known))]
+	x := c.next()
+	x.VM, x.Process, x.SentAt = v.name, v.current(), c.s.now()
+	c.s.ledger.sent(x)
+	r := c.caller.Send(v.entry.addr(), x.Request)
+	c.s.ledger.answered(x.ID, c.s.now(), r)
+	if r.Status == 0 {
+		c.known = slices.DeleteFunc(slices.Clone(c.known), func(o *vm) bool { return o == v })
+	}
+}
+
+// next returns the next request.
+func (c *callerState) next() Exchange {
+	c.sent++
+	id := RequestID(fmt.Sprintf("r%d-%d", c.number, c.sent))
+	name, method, body := routeOrder, "POST", fmt.Sprintf("order of %s", id)
+	switch p := c.rng.Float64(); {
+	case p < searchShare:
+		name, method, body = routeSearch, "GET", ""
+	case p < searchShare+fetchShare:
+		name, method, body = routeFetch, "GET", ""
+	}
+	route := routeNamed(c.s.operator.newest(), name)
+	return Exchange{
+		Request: Request{ID: id, Method: method, Host: host, Path: fmt.Sprintf("%s%d", route.Prefix, c.sent), Body: body, Deadline: deadlines[name]},
+		Route:   route,
+	}
+}
+
+// refresh asks VMs in random order for the VMs that accept callers, until one answers.
+func (c *callerState) refresh() {
+	for _, i := range c.rng.Perm(len(c.s.vms)) {
+		ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
+		addrs, err := c.s.opt.Platform.Directory(ctx, c.s.vms[i].ports.directory)
+		cancel()
+		if err != nil || len(addrs) == 0 {
+			continue
+		}
+		c.known = nil
+		for _, v := range c.s.vms {
+			if slices.Contains(addrs, v.ports.entry) {
+				c.known = append(c.known, v)
+			}
+		}
+		c.refreshAt = c.s.now().Add(directoryRefresh)
+		return
+	}
+}
--- /dev/null
+++ b/dgsoak/doc.go
@@ -0,0 +1,29 @@
+// Package dgsoak runs the daemon of the edge as separate processes on loopback, injects
+// faults that a seed decides, and checks the promises of the tier from what callers and
+// backend servers see. The platform around the processes is a stand-in (Platform).
+//
+// Promises:
+//
+//	K1   A success is whole, belongs to its request and is what backend servers sent.
+//	K2   The parts of a merged response and the number of missing ones make up the shards
+//	     of one configuration, each at most once, and are enough.
+//	K3   A request that may not be repeated runs at most once.
+//	K4   A request that was refused as not run has not run and does not run later.
+//	K5   Backend servers get only requests that callers sent, unchanged.
+//	K6   A request reaches each service at most MaxAttempts times.
+//	K7   Extra requests to a service stay within the retry budget of the tier.
+//	K8   A backend server that is leaving gets no request after Bounds.Drain.
+//	K9   A zone that is out of service gets no request after Bounds.Evacuation.
+//	K10  A backend server that asked for a pause gets none from that VM in the pause.
+//	K11  A configuration is in force after Bounds.ConfigApply, and no VM goes back behind
+//	     one that it has used.
+//	K12  A planned stop aborts no request and takes at most Bounds.Grace.
+//	K13  No process ends by itself.
+//	K14  After the last fault, callers are served again within Bounds.Recover.
+//	K15  Memory and descriptors of a process stay below Bounds.MemoryBytes and
+//	     Bounds.Descriptors.
+//	K16  A request gets a response until Bounds.ResponseSlack after its deadline.
+//
+// K7 to K12, K14 and K16 have time bounds, which a busy machine may break. They hold for
+// VMs that no fault has touched for Bounds.Stable.
+package dgsoak
--- /dev/null
+++ b/dgsoak/export_test.go
@@ -0,0 +1,8 @@
+package dgsoak
+
+// Exports for tests.
+var (
+	Content  = content
+	Merge    = merge
+	StampFor = stamp
+)
--- /dev/null
+++ b/dgsoak/ledger.go
@@ -0,0 +1,202 @@
+package dgsoak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// Exchange is a request of a caller and the response.
+type Exchange struct {
+	Request
+	VM         dandeliongap.VMName
+	Process    int // number of the process of the VM that was running when the request was sent
+	Route      *dandeliongap.Route
+	SentAt     dandeliongap.Instant
+	AnsweredAt dandeliongap.Instant // 0: the soak ended before
+	Response   Response
+}
+
+// Disturbance is a time in which a fault touched a VM or everything.
+type Disturbance struct {
+	VM   dandeliongap.VMName // "": all
+	From dandeliongap.Instant
+	To   dandeliongap.Instant
+	What string
+}
+
+// Publication is a configuration that was accepted.
+type Publication struct {
+	At     dandeliongap.Instant
+	Config *dandeliongap.RouteConfig
+}
+
+// Departure is the time at which the store accepted that a backend server leaves or is gone.
+type Departure struct {
+	At       dandeliongap.Instant
+	Instance dandeliongap.InstanceID
+}
+
+// Outage is the time for which operators took a zone out of service.
+type Outage struct {
+	Zone dandeliongap.ZoneName
+	From dandeliongap.Instant
+	To   dandeliongap.Instant
+}
+
+// Stop is a planned stop of a VM.
+type Stop struct {
+	VM       dandeliongap.VMName
+	Process  int
+	SignalAt dandeliongap.Instant
+	EndedAt  dandeliongap.Instant
+	Late     bool // the process had not stopped within the bound and was killed
+}
+
+// Usage is the largest use of resources of a process that was seen.
+type Usage struct {
+	VM          dandeliongap.VMName
+	Process     int
+	MemoryBytes int64
+	Descriptors int
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise string // K1 to K16
+	At      dandeliongap.Instant
+	Text    string
+}
+
+// Ledger records what happened in a soak. The zero value is empty. It is safe for
+// concurrent use; the fields may be read when nothing is recorded any more.
+type Ledger struct {
+	mu           sync.Mutex
+	Exchanges    map[RequestID]*Exchange
+	Arrivals     map[uint64]Arrival // by number
+	Instances    map[dandeliongap.InstanceID]dandeliongap.Instance
+	Disturbances []Disturbance
+	// ServerFaults has the times in which backend servers or the paths to them were faulty.
+	ServerFaults []Disturbance
+	Publications []Publication
+	Departures   []Departure
+	Outages      []Outage
+	Stops        []Stop
+	Usages       map[string]Usage // by VM and process
+	Found        []Violation      // found while the soak ran
+	QuietFrom    dandeliongap.Instant
+	EndedAt      dandeliongap.Instant
+}
+
+func (l *Ledger) sent(x Exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Exchanges == nil {
+		l.Exchanges = make(map[RequestID]*Exchange)
+	}
+	l.Exchanges[x.ID] = &x
+}
+
+func (l *Ledger) answered(id RequestID, at dandeliongap.Instant, r Response) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.Exchanges[id]
+	x.AnsweredAt, x.Response = at, r
+}
+
+func (l *Ledger) arrived(a Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Arrivals == nil {
+		l.Arrivals = make(map[uint64]Arrival)
+	}
+	l.Arrivals[a.Number] = a
+}
+
+func (l *Ledger) server(in dandeliongap.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Instances == nil {
+		l.Instances = make(map[dandeliongap.InstanceID]dandeliongap.Instance)
+	}
+	l.Instances[in.ID] = in
+}
+
+func (l *Ledger) disturbed(d Disturbance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Disturbances = append(l.Disturbances, d)
+}
+
+func (l *Ledger) serverFaulty(d Disturbance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ServerFaults = append(l.ServerFaults, d)
+}
+
+func (l *Ledger) published(p Publication) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Publications = append(l.Publications, p)
+}
+
+func (l *Ledger) departed(d Departure) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Departures = append(l.Departures, d)
+}
+
+func (l *Ledger) zoneOut(o Outage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Outages = append(l.Outages, o)
+}
+
+func (l *Ledger) stopped(s Stop) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Stops = append(l.Stops, s)
+}
+
+func (l *Ledger) used(u Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Usages == nil {
+		l.Usages = make(map[string]Usage)
+	}
+	key := fmt.Sprint(u.VM, "/", u.Process)
+	old := l.Usages[key]
+	u.MemoryBytes, u.Descriptors = max(u.MemoryBytes, old.MemoryBytes), max(u.Descriptors, old.Descriptors)
+	l.Usages[key] = u
+}
+
+func (l *Ledger) found(v Violation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Found = append(l.Found, v)
+}
+
+// Bounds are the bounds of the promises.
+type Bounds struct {
+	Drain, Evacuation, ConfigApply, Rollback time.Duration
+	Grace, Recover, Stable, ResponseSlack    time.Duration
+	PauseSlack                               time.Duration // after which a pause is in force
+	LossSlack                                time.Duration // after which a stopping VM has read a request for certain
+	RetryRatio, RetrySlack                   float64
+	RetryWindow                              time.Duration
+	MemoryBytes                              int64
+	Descriptors                              int
+	ServedShare                              float64 // of the requests after Recover (K14)
+}
+
+// DefaultBounds are those of the deployments in use: six VMs.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Drain: 3 * time.Second, Evacuation: 5 * time.Second, ConfigApply: 3 * time.Second, Rollback: 250 * time.Millisecond,
+		Grace: 6 * time.Second, Recover: 12 * time.Second, Stable: 4 * time.Second, ResponseSlack: 500 * time.Millisecond,
+		PauseSlack: 500 * time.Millisecond, LossSlack: 200 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second,
+		MemoryBytes: 184 << 20, Descriptors: 4100, ServedShare: 0.25,
+	}
+}
--- /dev/null
+++ b/dgsoak/platform.go
@@ -0,0 +1,157 @@
+package dgsoak
+
+import (
+	"context"
+	"time"
+
+	"dandeliongap.example/dandeliongap"
+)
+
+// RequestID identifies a request of a caller.
+type RequestID string
+
+// Platform is a stand-in of the platform: its store, backend servers and callers. Its
+// implementation knows the names and formats on the wire.
+type Platform interface {
+	// StoreAddress returns the address of the store, "IP:port".
+	StoreAddress() string
+	SetStoreFault(StoreFault)
+	// ForgetHistory makes the store drop the changes that it holds for watches.
+	ForgetHistory()
+	// Publish puts a configuration into the store, as operators do. It is accepted when
+	// Publish returns.
+	Publish(*dandeliongap.RouteConfig) error
+	// Register writes or replaces the registration of a backend server.
+	Register(dandeliongap.Instance) error
+	Deregister(dandeliongap.InstanceID)
+	// SetZoneOut takes a zone out of service or returns it.
+	SetZoneOut(zone dandeliongap.ZoneName, out bool) error
+	// WriteOdd writes an entry among the registrations that names no backend server. n
+	// selects the entry.
+	WriteOdd(n int)
+	// NewServer starts a backend server.
+	NewServer(ServerOptions) (Server, error)
+	// NewCaller returns a caller with connections of its own.
+	NewCaller() Caller
+	// Directory asks the VM at addr for the addresses of the VMs that accept callers.
+	Directory(ctx context.Context, addr string) ([]string, error)
+	// Ready reports whether the VM with the given address for readiness checks is ready.
+	Ready(ctx context.Context, addr string) bool
+	Close() error
+}
+
+// StoreFault is how the store misbehaves.
+type StoreFault uint8
+
+// Faults of the store.
+const (
+	StoreSound StoreFault = iota
+	StoreRefuses
+	StoreBusy // refuses because of its rate limit
+	StoreSlow
+	StoreSilent
+	StoreLosesAnswers // of writes, which take effect
+	StoreStale        // cheap lists show the state of when the fault began
+	storeFaults       // number of faults
+)
+
+// ServerFault is how a backend server misbehaves.
+type ServerFault uint8
+
+// Faults of a backend server.
+const (
+	ServerSound ServerFault = iota
+	ServerSlow
+	ServerFails      // responds with a failure
+	ServerHangsUp    // closes instead of a response
+	ServerSilent     // no response until the caller closes
+	ServerCutsHead   // closes in the middle of the head
+	ServerCutsBody   // closes in the middle of a body with a length
+	ServerCutsChunks // closes in the middle of a chunked body
+	ServerEndlessHead
+	ServerEndlessBody
+	ServerGarbage    // bytes that are no response
+	ServerExtraBytes // bytes after a whole response
+	ServerRefuses    // refuses as not run
+	ServerPauses     // refuses as not run and asks for a pause
+	serverFaults     // number of faults
+)
+
+// ServerOptions describe a backend server.
+type ServerOptions struct {
+	Instance dandeliongap.Instance // without Address
+	// Content returns the body of the response to a request.
+	Content func(dandeliongap.ServiceName, RequestID) []byte
+	// Stamp returns the stamp of the response to a request.
+	Stamp func(dandeliongap.InstanceID, dandeliongap.ServiceName, RequestID) string
+	// Record is called with a request that was read, and again when more is known of it.
+	Record func(Arrival)
+	Now    func() dandeliongap.Instant
+}
+
+// PauseTime is the pause for which a server with the fault ServerPauses asks.
+const PauseTime = 2500 * time.Millisecond
+
+// Server is a backend server.
+type Server interface {
+	Address() string
+	SetFault(ServerFault)
+	// SetLeaving makes all responses say that the server is leaving.
+	SetLeaving()
+	Close() error
+}
+
+// Arrival is a request that a backend server has read.
+type Arrival struct {
+	Number   uint64 // the same in all records of this arrival, and in those of no other
+	At       dandeliongap.Instant
+	Request  RequestID
+	Service  dandeliongap.ServiceName
+	Instance dandeliongap.InstanceID
+	Method   string
+	Path     string
+	Body     string
+	Ran      bool
+	// Misdirected reports that the request was for another instance and was refused.
+	Misdirected bool
+
+	AnsweredAt dandeliongap.Instant // 0: no response was sent yet
+	Leaving    bool                 // the response said that the server is leaving
+	Pause      time.Duration        // for which the response asked
+}
+
+// Request is a request of a caller.
+type Request struct {
+	ID       RequestID
+	Method   string
+	Host     string
+	Path     string
+	Body     string
+	Deadline time.Duration
+}
+
+// Response is what a caller got. Status is 0 if no whole response arrived.
+type Response struct {
+	Status  int
+	Stamps  []string // of the backend servers whose responses are in it
+	Missing int      // number of shards that are not in it
+	Body    []byte
+	Err     error
+}
+
+// Promised reports whether the response promises that the request has not run.
+func (r Response) Promised() bool {
+	switch r.Status {
+	case 408, 421, 429, 503:
+		return true
+	}
+	return false
+}
+
+// Caller sends requests, over connections that it keeps. It is not safe for concurrent
+// use.
+type Caller interface {
+	// Send sends a request once to the VM at addr.
+	Send(addr string, r Request) Response
+	Close() error
+}
--- /dev/null
+++ b/dgsoak/schedule.go
@@ -0,0 +1,95 @@
+package dgsoak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of step.
+type Kind uint8
+
+// Kinds of steps.
+const (
+	KillVM          Kind = iota // and start it again
+	StopVM                      // as planned, and start it again
+	PauseVM                     // and let it go on
+	ReloadVM                    // its settings file changes
+	KillAll                     // all VMs at once
+	FaultStore                  // for all VMs
+	ForgetHistory               // of the store
+	CutStore                    // for one VM: its connections to the store fall silent, new ones too
+	ResetStore                  // for one VM: its connections to the store are reset
+	DelayCallers                // bytes between callers and one VM are late
+	ResetCallers                // connections between callers and one VM
+	SilenceAnswers              // bytes from one VM to callers are held up
+	FaultServer                 // one backend server
+	FaultService                // all backend servers of a service
+	CutServer                   // the path to one backend server falls silent
+	ResetServer                 // the connections to one backend server are reset
+	ThrottleServer              // the path to one backend server is slow
+	CrashServer                 // and start it again at the same address, as another instance
+	DrainServer                 // it is replaced
+	VanishServer                // as DrainServer, but its registration is removed at once
+	LeaveServer                 // it says that it leaves in its responses alone
+	ReuseAddress                // of a server that is gone, by a server of another service
+	TakeOutZone                 // and return it
+	ChangeConfig                // requests go to another service
+	StormConfig                 // several changes in quick succession
+	Reshard                     // the index has another set of shards
+	WriteOddEntries             // among the registrations
+	kinds                       // number of kinds
+)
+
+var kindNames = [kinds]string{
+	"kill VM", "stop VM", "pause VM", "reload VM", "kill all VMs", "faulty store", "store forgets history", "store cut off", "store connections reset",
+	"callers delayed", "caller connections reset", "answers silenced", "faulty server", "faulty service", "server cut off", "server connections reset",
+	"server throttled", "server crash", "server drained", "server vanishes", "server leaves", "address reused", "zone taken out", "configuration change",
+	"configuration storm", "new set of shards", "odd entries",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// Step is a fault or a planned change.
+type Step struct {
+	Kind    Kind
+	At      time.Duration // since the first request
+	For     time.Duration // for kinds that end
+	Target  uint32        // selects the VM, server or zone
+	Variant uint32        // selects the fault of the store or of a server
+}
+
+const (
+	// stepInterval is the mean time between two steps. Most last longer, so that they
+	// overlap.
+	stepInterval = 900 * time.Millisecond
+	// firstStep is the time for which the tier serves before the first step.
+	firstStep = 2 * time.Second
+	// shortestStep and longestStep limit Step.For.
+	shortestStep, longestStep = 300 * time.Millisecond, 5 * time.Second
+)
+
+// Draw returns the steps of a soak of a length, in order of time.
+func Draw(seed uint64, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var out []Step
+	for range int(length / stepInterval) {
+		out = append(out, Step{
+			Kind:    Kind(rng.IntN(int(kinds))),
+			At:      firstStep + time.Duration(rng.Int64N(int64(max(1, length-firstStep)))),
+			For:     shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))),
+			Target:  rng.Uint32(),
+			Variant: rng.Uint32(),
+		})
+	}
+	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
+// storeFault returns the fault of the store that the step selects.
+func (s Step) storeFault() StoreFault { return StoreFault(1 + s.Variant%uint32(storeFaults-1)) }
+
+// serverFault returns the fault of a server that the step selects.
+func (s Step) serverFault() ServerFault { return ServerFault(1 + s.Variant%uint32(serverFaults-1)) }
