Cut the paths between VMs in the soak, and lose heartbeats on them

The registrations that VMs write name proxies for gossip: a relay for heartbeats and a proxy for pulls.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -14,6 +14,8 @@
 	longestPause = 3 * time.Second
 	// callerDelay and serverDelay are how late data arrives on a slow path.
 	callerDelay, serverDelay = 150 * time.Millisecond, 60 * time.Millisecond
+	// heartbeatLoss is the share of the heartbeats that a lossy path loses.
+	heartbeatLoss = 0.5
 	// leavingSlack is added to Bounds.Drain before a server that leaves is closed.
 	leavingSlack = time.Second
 	// addressReuse is the time after which the address of a server is used by another one.
@@ -73,6 +75,15 @@
 		s.disturb(v.name, step, v.entry.reset)
 	case SilenceAnswers:
 		s.disturb(v.name, step, func() { s.faultPath(v.entry, PathFault{SilentBack: true}, step.For) })
+	case CutPeers:
+		s.disturb(v.name, step, func() {
+			var wg conc.WaitGroup
+			wg.Go(func() { s.faultPath(v.peers, silence(step), step.For) })
+			wg.Go(func() { s.faultPath(v.gossip, silence(step), step.For) })
+			wg.Wait()
+		})
+	case LosePeers:
+		s.disturb(v.name, step, func() { s.faultPath(v.gossip, PathFault{Loss: heartbeatLoss}, step.For) })
 	case ChangeConfig:
 		err = s.operator.publish(false)
 	case StormConfig:
@@ -110,7 +121,7 @@
 	v.restart()
 }
 
-func (s *soak) faultPath(p *proxy, f PathFault, d time.Duration) {
+func (s *soak) faultPath(p interface{ setFault(PathFault) }, f PathFault, d time.Duration) {
 	p.setFault(f)
 	time.Sleep(d)
 	p.setFault(PathFault{})
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -26,6 +26,9 @@
 	Deregister(dandeliongap.InstanceID)
 	// SetZoneOut takes a zone out of service or returns it.
 	SetZoneOut(zone dandeliongap.ZoneName, out bool) error
+	// RerouteGossip makes the registrations that VMs write from now on name the addresses
+	// for gossip that the function returns for them.
+	RerouteGossip(func(dandeliongap.VMName) string)
 	// WriteOdd writes an entry among the registrations that names no backend server. n
 	// selects the entry.
 	WriteOdd(n int)
--- a/dgsoak/proxy.go
+++ b/dgsoak/proxy.go
@@ -16,6 +16,8 @@
 	// SilentThere and SilentBack hold up all data towards the server and back, for as long
 	// as the fault lasts; connections stay open.
 	SilentThere, SilentBack bool
+	// Loss is the share of the datagrams that are lost.
+	Loss float64
 }
 
 const (
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -24,6 +24,8 @@
 	DelayCallers                // bytes between callers and one VM are late
 	ResetCallers                // connections between callers and one VM
 	SilenceAnswers              // bytes from one VM to callers are held up
+	CutPeers                    // the paths from other VMs to one VM fall silent
+	LosePeers                   // half of the heartbeats on these paths are lost
 	FaultServer                 // one backend server
 	FaultService                // all backend servers of a service
 	CutServer                   // the path to one backend server falls silent
@@ -44,7 +46,7 @@
 
 var kindNames = [kinds]string{
 	"kill VM", "stop VM", "pause VM", "reload VM", "kill all VMs", "faulty store", "store forgets history", "store cut off", "store connections reset",
-	"callers delayed", "caller connections reset", "answers silenced", "faulty server", "faulty service", "server cut off", "server connections reset",
+	"callers delayed", "caller connections reset", "answers silenced", "VM cut off from others", "heartbeats lost", "faulty server", "faulty service", "server cut off", "server connections reset",
 	"server throttled", "server crash", "server drained", "server vanishes", "server leaves", "address reused", "zone taken out", "configuration change",
 	"configuration storm", "new set of shards", "odd entries",
 }
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -130,6 +130,7 @@
 		}
 		s.vms = append(s.vms, v)
 	}
+	s.opt.Platform.RerouteGossip(s.gossipAddress)
 	for _, v := range s.vms {
 		if err := v.start(true); err != nil {
 			return err
@@ -166,10 +167,26 @@
 	if v.entry, err = newProxy(v.ports.entry); err != nil {
 		return nil, err
 	}
-	v.store, err = newProxy(s.opt.Platform.StoreAddress())
+	if v.store, err = newProxy(s.opt.Platform.StoreAddress()); err != nil {
+		return nil, err
+	}
+	if v.peers, err = newProxy(v.ports.gossip); err != nil {
+		return nil, err
+	}
+	v.gossip, err = newRelay(v.peers.addr(), v.ports.gossip)
 	return v, err
 }
 
+// gossipAddress returns the address at which other VMs reach a VM.
+func (s *soak) gossipAddress(name dandeliongap.VMName) string {
+	for _, v := range s.vms {
+		if v.name == name {
+			return v.peers.addr()
+		}
+	}
+	return ""
+}
+
 // close ends all processes and closes the servers and proxies.
 func (s *soak) close() {
 	s.ending.Store(true)
@@ -182,6 +199,8 @@
 		}
 		_ = v.entry.Close()
 		_ = v.store.Close()
+		_ = v.peers.Close()
+		_ = v.gossip.Close()
 	}
 	_ = s.fleet.Close()
 }
--- a/dgsoak/vm.go
+++ b/dgsoak/vm.go
@@ -28,6 +28,8 @@
 	ports    vmPorts
 	entry    *proxy // between callers and the VM
 	store    *proxy // between the VM and the store
+	peers    *proxy // between other VMs and the VM: pulls of changes
+	gossip   *relay // the same, at the same address: heartbeats
 	bounds   Bounds
 	now      func() dandeliongap.Instant
 	ledger   *Ledger
