--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -16,8 +16,9 @@
 	callerDelay, serverDelay = 150 * time.Millisecond, 60 * time.Millisecond
 	// heartbeatLoss is the share of the heartbeats that a lossy path loses.
 	heartbeatLoss = 0.5
-	// leavingSlack is added to Bounds.Drain before a server that leaves is closed.
-	leavingSlack = time.Second
+	// leavingSlack is added to Bounds.Drain before a server that leaves is closed. Some
+	// serve for many seconds longer, in which callers must not come back (K8).
+	leavingSlack = 6 * time.Second
 	// addressReuse is the time after which the address of a server is used by another one.
 	addressReuse = 2 * time.Second
 	// registrationAge is the time after which the registration of a lost server is removed.
