End each soak with planned work in calm, and judge stops by the servers that a request needs

Cause: trials with daemons that break a promise on purpose.

K12 leaves out requests whose own services had a faulty server.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -154,9 +154,7 @@
 	b := s.fleet.pick(step.Target)
 	in := b.instance
 	from := s.now()
-	defer func() {
-		s.ledger.serverFaulty(Disturbance{From: from, To: s.now(), What: step.Kind.String()})
-	}()
+	defer func() { s.ledger.troubled(Trouble{in.Service, from, s.now()}) }()
 	switch step.Kind {
 	case FaultServer:
 		s.faultServers([]*backend{b}, step)
@@ -187,7 +185,9 @@
 		}
 		time.Sleep(addressReuse)
 		all := services()
-		err := s.fleet.start(all[int(step.Variant)%len(all)], in.Zone, b.path)
+		other := all[int(step.Variant)%len(all)]
+		defer func() { s.ledger.troubled(Trouble{other, from, s.now()}) }()
+		err := s.fleet.start(other, in.Zone, b.path)
 		time.Sleep(registrationAge - addressReuse)
 		s.remove(b)
 		return err
--- a/dgsoak/check.go
+++ b/dgsoak/check.go
@@ -380,13 +380,16 @@
 		if s.Late && !faulty {
 			c.report("K12", s.EndedAt, "%s had not stopped %v after SIGTERM", s.VM, s.EndedAt.Sub(s.SignalAt))
 		}
-		if s.Late || faulty || c.faulty(from, s.EndedAt) {
+		if s.Late || faulty {
 			continue
 		}
 		for _, x := range c.Exchanges {
 			if x.VM != s.VM || x.Process != s.Process || x.Response.Status != 0 || x.SentAt > s.EndedAt || x.AnsweredAt < s.SignalAt || x.AnsweredAt > x.SentAt.Add(x.Deadline) {
 				continue
 			}
+			if c.troubled(x) {
+				continue
+			}
 			if len(c.byRequest[x.ID]) > 0 || x.AnsweredAt > x.SentAt.Add(c.bounds.LossSlack) {
 				c.report("K12", x.AnsweredAt, "request %s got no response from %s while it stopped, after %v: %v", x.ID, s.VM, x.AnsweredAt.Sub(x.SentAt), x.Response.Err)
 			}
@@ -394,9 +397,12 @@
 	}
 }
 
-// faulty reports whether a backend server was faulty in a time.
-func (c *checker) faulty(from, to dandeliongap.Instant) bool {
-	return slices.ContainsFunc(c.ServerFaults, func(d Disturbance) bool { return d.From <= to && (d.To == 0 || d.To >= from) })
+// troubled reports whether a backend server of a service that a request needs was faulty in
+// the Stable time before the request or until its end.
+func (c *checker) troubled(x *Exchange) bool {
+	return slices.ContainsFunc(c.Troubles, func(t Trouble) bool {
+		return slices.Contains(servicesOf(x.Route), t.Service) && t.From <= x.AnsweredAt && t.To >= x.SentAt.Add(-c.bounds.Stable)
+	})
 }
 
 // checkService checks K14.
--- a/dgsoak/check_test.go
+++ b/dgsoak/check_test.go
@@ -224,6 +224,11 @@
 			s.Exchanges["fetchU"].Response = dgsoak.Response{}
 			disturb(s, 19*second, 20*second)
 		}},
+		{"a stop that aborts a request to a faulty server", "", func(s *scene) {
+			s.Stops = append(s.Stops, dgsoak.Stop{VM: "vm", Process: 1, SignalAt: at(20 * second), EndedAt: at(21 * second)})
+			s.Exchanges["fetchU"].Response = dgsoak.Response{}
+			s.Troubles = append(s.Troubles, dgsoak.Trouble{Service: "f0", From: at(19 * second), To: at(20 * second)})
+		}},
 		{"a stop that takes too long", "K12", func(s *scene) {
 			s.Stops = append(s.Stops, dgsoak.Stop{VM: "vm", Process: 1, SignalAt: at(20 * second), EndedAt: at(27 * second), Late: true})
 		}},
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -27,6 +27,13 @@
 	What string
 }
 
+// Trouble is a time in which a backend server of a service, or the path to one, was faulty.
+type Trouble struct {
+	Service dandeliongap.ServiceName
+	From    dandeliongap.Instant
+	To      dandeliongap.Instant
+}
+
 // Publication is a configuration that was accepted.
 type Publication struct {
 	At     dandeliongap.Instant
@@ -78,8 +85,7 @@
 	Arrivals     map[uint64]Arrival // by number
 	Instances    map[dandeliongap.InstanceID]dandeliongap.Instance
 	Disturbances []Disturbance
-	// ServerFaults has the times in which backend servers or the paths to them were faulty.
-	ServerFaults []Disturbance
+	Troubles     []Trouble
 	Publications []Publication
 	Departures   []Departure
 	Outages      []Outage
@@ -130,10 +136,10 @@
 	l.Disturbances = append(l.Disturbances, d)
 }
 
-func (l *Ledger) serverFaulty(d Disturbance) {
+func (l *Ledger) troubled(t Trouble) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ServerFaults = append(l.ServerFaults, d)
+	l.Troubles = append(l.Troubles, t)
 }
 
 func (l *Ledger) published(p Publication) {
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -24,6 +24,8 @@
 	readyTimeout = 60 * time.Second
 	// measureInterval is the time between two measurements of the processes.
 	measureInterval = 500 * time.Millisecond
+	// rollingStops is the number of VMs that are stopped and started in turn in calm.
+	rollingStops = 3
 	// tailSlack is the time after Bounds.Recover for which callers go on, so that K14 has
 	// requests to judge by.
 	tailSlack = 3 * time.Second
@@ -217,10 +219,41 @@
 	}
 	wg.Wait()
 	s.ledger.QuietFrom = s.now()
-	sleep(ctx, s.opt.Bounds.Recover+tailSlack)
+	if sleep(ctx, s.opt.Bounds.Stable) {
+		wg.Go(s.plannedWork)
+	}
+	sleep(ctx, s.opt.Bounds.Recover+tailSlack-s.opt.Bounds.Stable)
+	wg.Wait()
 	return ctx.Err()
 }
 
+// plannedWork applies the planned steps in calm, where the promises about them hold without
+// exception.
+func (s *soak) plannedWork() {
+	var wg conc.WaitGroup
+	target := uint32(s.opt.Seed)
+	wg.Go(func() { s.drainShard(int(target)) })
+	for _, kind := range []Kind{TakeOutZone, ChangeConfig} {
+		wg.Go(func() { s.apply(Step{Kind: kind, Target: target, For: shortestStep}) })
+	}
+	for i := range min(rollingStops, len(s.vms)) {
+		s.apply(Step{Kind: StopVM, Target: target + uint32(i)})
+	}
+	wg.Wait()
+}
+
+// drainShard drains a backend server of a shard that is in use.
+func (s *soak) drainShard(n int) {
+	shards := routeNamed(s.operator.newest(), routeSearch).Shards
+	servers := s.fleet.ofService(shards[n%len(shards)])
+	if len(servers) == 0 {
+		return // steps have removed all; they start others
+	}
+	if err := s.leave(servers[0], DrainServer); err != nil {
+		s.ledger.found(Violation{"stand-in", s.now(), fmt.Sprintf("drain %s: %v", servers[0].instance.ID, err)})
+	}
+}
+
 // sleep returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(max(0, d))
