Leave callers to the strong VMs while these can serve them

From 36 s on, in calm, 48 of the 49 late searches were of three VMs of the roster: those of 0.192 cores, one in each zone, which get as many callers as those of 0.8. One search over 135 shards takes 13.5 ms of a core, 70 ms on them, of an objective of 60 or 120; their hedging timers then fire for all shards at once, up to 135 extra requests a search.

Ruled out: pauses of replicas (searches with 0 to 30 extra requests were late in 12 of 963 cases) and VMs that stand by.

Change: dgroster S3, S5. A VM with less than half of the cores of the strongest is on the roster only where a zone has less than two VMs without it, or when the others are loaded above 0.6.

--- a/dgcommand/soak.go
+++ b/dgcommand/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,10 @@
 	if c.VMs < 1 || c.Parallel < 1 || c.Seeds < 1 || c.For <= 0 {
 		return errors.New("--vms, --parallel, --seeds and --for must be positive")
 	}
+	sorted := slices.Sorted(slices.Values(c.Seed))
+	if len(slices.Compact(sorted)) < len(c.Seed) {
+		return errors.New("--seed: each seed once, as its name is that of its folder")
+	}
 	return nil
 }
 
@@ -126,6 +131,10 @@
 	return r, nil
 }
 
+// maxViolations is the number of broken promises that are printed for a seed. The report
+// has all.
+const maxViolations = 20
+
 // print prints the result of a seed, and for a broken promise how to play it again.
 func (c *SoakCommand) print(env *Env, r dgsoak.Report) error {
 	_, err := fmt.Fprintf(env.Out, "seed %d: %d requests, %d served, %d refused, %d failed, %d arrivals, %d processes, at most %d MB and %d descriptors, %d broken promises\n",
@@ -138,7 +147,13 @@
 			return err
 		}
 	}
-	for _, v := range r.Violations {
+	for i, v := range r.Violations {
+		if i == maxViolations {
+			if _, err = fmt.Fprintf(env.Out, "  and %d more\n", len(r.Violations)-i); err != nil {
+				return err
+			}
+			break
+		}
 		if _, err = fmt.Fprintf(env.Out, "  %.3f s %s %s\n", time.Duration(v.At).Seconds(), v.Promise, v.Text); err != nil {
 			return err
 		}
--- a/dgroster/dgroster.go
+++ b/dgroster/dgroster.go
@@ -13,11 +13,15 @@
 //	S2  The roster has VMs of the zones that have a replica of most services, and of
 //	    at least minZones zones, so that it outlives any zone.
 //	S3  It has at least vmsPerZone VMs of each of these zones, as far as there are so
-//	    many, and minVMs in all.
+//	    many, and minVMs in all. A weak VM, with less than strongShare of the processor
+//	    cores of the strongest, is taken only if a zone has less than minPerZone without
+//	    it: callers are spread evenly over the roster, and a query to many shards takes
+//	    longer on a weak VM than its objective allows.
 //	S4  Of a zone, the VMs with the most processor cores come first, then those that
 //	    a hash of their names puts first.
 //	S5  The roster grows until its processors can do what the VMs do at present at
-//	    targetLoad. It grows at once and shrinks with the halving time demandHalfLife.
+//	    targetLoad. Weak VMs join only when the others would be loaded above strongLoad.
+//	    It grows at once and shrinks with the halving time demandHalfLife.
 //	S6  The hubs are the first VMs of every zone in the order of S4, more than the
 //	    roster needs, so that they include those that join it when others are lost.
 //	    They tell each other of each other (dgpresence). They follow from the
@@ -37,6 +41,7 @@
 const (
 	minZones   = 2
 	vmsPerZone = 3
+	minPerZone = 2
 	minVMs     = 4
 	// hubsPerZone is the number of hubs of a zone, unless the roster needs more (S6).
 	hubsPerZone = vmsPerZone + 1
@@ -49,6 +54,12 @@
 	// targetLoad is the share of the processors of the roster that the present requests
 	// may use (S5). A query to many shards needs its processor time at once.
 	targetLoad = 0.25
+	// strongShare is the share of the processor cores of the strongest VM from which a VM
+	// is not weak (S3).
+	strongShare = 0.5
+	// strongLoad is the load up to which the VMs that are not weak serve alone (S5). Above
+	// it, queries wait longer for them than a weak VM takes.
+	strongLoad = 0.6
 	// defaultCores is assumed for VMs whose registration states no processor cores.
 	defaultCores = 0.2
 	// demandHalfLife is the time in which a demand that is over loses half of its
@@ -135,6 +146,12 @@
 // numbers of VMs chosen from them.
 func (r *Roster) choose(candidates []Candidate, near Nearness) ([]dandeliongap.VMName, []*zone) {
 	zones := byZone(candidates, near)
+	strongest := 0.0
+	for _, c := range candidates {
+		strongest = max(strongest, c.cores())
+	}
+	strong := func(z *zone) bool { return z.vms[0].cores() >= strongShare*strongest }
+	anyVM := func(*zone) bool { return true }
 	var out []dandeliongap.VMName
 	cores := 0.0
 	add := func(z *zone) {
@@ -148,7 +165,7 @@
 	for i, z := range zones {
 		if i < minZones || z.near {
 			preferred++
-			for len(z.vms) > 0 && z.chosen < vmsPerZone {
+			for len(z.vms) > 0 && (z.chosen < minPerZone || z.chosen < vmsPerZone && strong(z)) {
 				add(z)
 			}
 		}
@@ -158,15 +175,20 @@
 			add(z)
 		}
 	}
-	for cores*targetLoad < r.demand {
-		z := leastChosen(zones[:preferred])
-		if z == nil {
-			z = leastChosen(zones)
-		}
-		if z == nil {
-			break
+	// grow adds VMs that fit, of some of the zones, until the load is not above targetLoad.
+	grow := func(zones []*zone, fits func(*zone) bool) {
+		for cores*targetLoad < r.demand {
+			z := leastChosen(zones, fits)
+			if z == nil {
+				return
+			}
+			add(z)
 		}
-		add(z)
+	}
+	grow(zones[:preferred], strong)
+	if r.demand > cores*strongLoad {
+		grow(zones[:preferred], anyVM)
+		grow(zones, anyVM)
 	}
 	slices.Sort(out)
 	return out, zones
@@ -211,10 +233,10 @@
 	return out
 }
 
-// leastChosen returns the zone with the fewest chosen VMs that has more, or nil.
-func leastChosen(zones []*zone) (least *zone) {
+// leastChosen returns the zone with the fewest chosen VMs whose next VM fits, or nil.
+func leastChosen(zones []*zone, fits func(*zone) bool) (least *zone) {
 	for _, z := range zones {
-		if len(z.vms) > 0 && (least == nil || z.chosen < least.chosen) {
+		if len(z.vms) > 0 && fits(z) && (least == nil || z.chosen < least.chosen) {
 			least = z
 		}
 	}
--- a/dgsoak/check.go
+++ b/dgsoak/check.go
@@ -142,7 +142,8 @@
 	for id, arrivals := range c.byRequest {
 		x := c.Exchanges[id]
 		if x == nil {
-			c.report("K5", arrivals[0].At, "request %q arrived at %s, and no caller sent it", id, arrivals[0].Instance)
+			a := arrivals[0]
+			c.report("K5", a.At, "request %q (%s %.80s) arrived at %s, and no caller sent it", id, a.Method, a.Path, a.Instance)
 			continue
 		}
 		runs := 0
--- a/dgsoak/relay.go
+++ b/dgsoak/relay.go
@@ -89,7 +89,7 @@
 	c := r.back[from]
 	if c == nil {
 		var err error
-		if c, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		if c, err = listenFree(); err != nil {
 			return // as if the datagram was lost
 		}
 		r.back[from] = c
@@ -106,3 +106,17 @@
 	}
 	_, _ = c.WriteToUDPAddrPort(datagram, r.target) // datagrams may be lost
 }
+
+// listenFree opens a socket on a port that no listener for TCP has either: a VM that gets
+// heartbeats from it may pull changes from the same port.
+func listenFree() (*net.UDPConn, error) {
+	addr, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	local, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+}
