Keep requests in the own zone at twice the cost, and let failures weigh more

With a factor of 1.5 for replicas in other zones a near replica with one request in flight was left for a far one, although it has two slots or more.

Change: dgbalance R3, R11. The factor is 2.0, and the cost is divided by the square of the share of successes.

--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -12,7 +12,8 @@
 //	    stands by, opens one at a time.
 //	R3  Of the usable replicas, the one with the lowest cost is selected. The cost is
 //	    the slowness of the replica, times one plus its requests in flight from this
-//	    VM, divided by its share of successes. A random factor decides between
+//	    VM, divided by the square of its share of successes: a failure costs a second
+//	    attempt, out of a small budget, besides its time. A random factor decides between
 //	    similar costs. A replica that has failed the same request before costs
 //	    retryCostFactor times as much: it is used only if the others are worse or
 //	    unusable.
@@ -104,9 +105,9 @@
 	standbyColdShare = 10
 
 	// otherZoneCostFactor is the cost of a replica in another availability zone
-	// relative to one in the VM's zone (R11). It exceeds the effect of costJitter, so
-	// that of two idle replicas the one in the VM's zone is used.
-	otherZoneCostFactor = 1.5
+	// relative to one in the VM's zone (R11): that of one request in flight, which
+	// rarely has to wait for a slot.
+	otherZoneCostFactor = 2.0
 )
 
 // Result tells how a request to a replica ended, as far as this says something
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -377,4 +377,46 @@
 		}
 		Expect(toA).To(BeNumerically("<=", 16), "of 80 requests")
 	})
+	// The load of mnttla-ladder scale-1: replicas in every zone lose part of their responses.
+	// A caller whose search lacks a part waits for a second attempt, or gets less.
+	It("R3, R11 give way to reliability (guards against lost responses of a replica that is used only because it is near)", func() {
+		const requests, lossPercent = 2000, 35
+		lost, near := 0, 0
+		for seed := range uint64(5) {
+			f := newFixture()
+			f.b = dgbalance.New("vm", "z-a", rand.New(rand.NewPCG(seed, 1)))
+			f.update(0, newInstance("a"), newInstance("b"))
+			losses := rand.New(rand.NewPCG(seed, 2))
+			for i := range requests {
+				a, _, err := f.b.Pick(ms(50*i), route, svc, nil, nil)
+				Expect(err).NotTo(HaveOccurred())
+				result := dgbalance.Answered
+				if a.Instance.ID == "a" {
+					near++
+					if losses.IntN(100) < lossPercent {
+						result = dgbalance.Failed
+						lost++
+					}
+				}
+				f.b.Done(ms(50*i+30), route, &a, result)
+			}
+		}
+		Expect(lost).To(BeNumerically("<", 5*requests*lossPercent/100/2), "half of what is lost if the near replica gets all")
+		Expect(near).To(BeNumerically(">", 5*requests/10), "it is tried, as it may have recovered")
+	})
+	It("R11 have no more than one request in flight in the zone of the VM while replicas elsewhere are idle", func() {
+		for seed := range uint64(50) {
+			f := newFixture()
+			f.b = dgbalance.New("vm", "z-a", rand.New(rand.NewPCG(seed, 1)))
+			f.update(0, newInstance("a"), newInstance("b"))
+			first, _, err := f.b.Pick(0, route, svc, nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(first.Instance.ID).To(BeEquivalentTo("a"))
+			second, _, err := f.b.Pick(0, route, svc, nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			third, _, err := f.b.Pick(0, route, svc, nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect([]dandeliongap.InstanceID{second.Instance.ID, third.Instance.ID}).To(ContainElement(BeEquivalentTo("b")))
+		}
+	})
 })
--- a/dgbalance/learn.go
+++ b/dgbalance/learn.go
@@ -27,7 +27,8 @@
 	if unanswered := r.unansweredFor(now); unanswered > 0 {
 		slowness = max(slowness, float64(unanswered)/float64(b.TypicalLatency(route, defaultTypicalLatency)))
 	}
-	return slowness * float64(1+len(r.startTimes)) / (1 - min(failureShare, maxFailureShare))
+	success := 1 - min(failureShare, maxFailureShare)
+	return slowness * float64(1+len(r.startTimes)) / (success * success)
 }
 
 // Done records the end of a request that Pick counted as in flight, and returns how
