--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -40,7 +40,7 @@
 	case StopVM:
 		s.replace(v, func() {
 			at := v.stop()
-			s.ledger.disturbed(Disturbance{v.name, at, s.now().Add(restartDelay), step.Kind.String()})
+			record(&s.ledger, &s.ledger.Disturbances, Disturbance{v.name, at, s.now().Add(restartDelay), step.Kind.String()})
 		})
 	case PauseVM:
 		s.disturb(v.name, step, func() {
@@ -102,7 +102,7 @@
 		err = s.applyToServer(step)
 	}
 	if err != nil {
-		s.ledger.found(Violation{"stand-in", s.now(), fmt.Sprintf("step %q: %v", step.Kind, err)})
+		record(&s.ledger, &s.ledger.Found, Violation{"stand-in", s.now(), fmt.Sprintf("step %q: %v", step.Kind, err)})
 	}
 }
 
@@ -110,7 +110,7 @@
 func (s *soak) disturb(vm dandeliongap.VMName, step Step, fault func()) {
 	from := s.now()
 	fault()
-	s.ledger.disturbed(Disturbance{vm, from, s.now(), step.Kind.String()})
+	record(&s.ledger, &s.ledger.Disturbances, Disturbance{vm, from, s.now(), step.Kind.String()})
 }
 
 // replace ends the process of a VM with end and starts another one.
@@ -145,7 +145,7 @@
 	o := Outage{Zone: zone, From: s.now()}
 	time.Sleep(s.opt.Bounds.Evacuation + d)
 	o.To = s.now()
-	s.ledger.zoneOut(o)
+	record(&s.ledger, &s.ledger.Outages, o)
 	return s.opt.Platform.SetZoneOut(zone, false)
 }
 
@@ -154,7 +154,7 @@
 	b := s.fleet.pick(step.Target)
 	in := b.instance
 	from := s.now()
-	defer func() { s.ledger.troubled(Trouble{in.Service, from, s.now()}) }()
+	defer func() { record(&s.ledger, &s.ledger.Troubles, Trouble{in.Service, from, s.now()}) }()
 	switch step.Kind {
 	case FaultServer:
 		s.faultServers([]*backend{b}, step)
@@ -186,7 +186,7 @@
 		time.Sleep(addressReuse)
 		all := services()
 		other := all[int(step.Variant)%len(all)]
-		defer func() { s.ledger.troubled(Trouble{other, from, s.now()}) }()
+		defer func() { record(&s.ledger, &s.ledger.Troubles, Trouble{other, from, s.now()}) }()
 		err := s.fleet.start(other, in.Zone, b.path)
 		time.Sleep(registrationAge - addressReuse)
 		s.remove(b)
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -96,6 +96,13 @@
 	EndedAt      dandeliongap.Instant
 }
 
+// record adds a value to a list of the ledger.
+func record[T any](l *Ledger, list *[]T, value T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*list = append(*list, value)
+}
+
 func (l *Ledger) sent(x Exchange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,42 +137,6 @@
 	l.Instances[in.ID] = in
 }
 
-func (l *Ledger) disturbed(d Disturbance) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Disturbances = append(l.Disturbances, d)
-}
-
-func (l *Ledger) troubled(t Trouble) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Troubles = append(l.Troubles, t)
-}
-
-func (l *Ledger) published(p Publication) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Publications = append(l.Publications, p)
-}
-
-func (l *Ledger) departed(d Departure) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Departures = append(l.Departures, d)
-}
-
-func (l *Ledger) zoneOut(o Outage) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Outages = append(l.Outages, o)
-}
-
-func (l *Ledger) stopped(s Stop) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Stops = append(l.Stops, s)
-}
-
 func (l *Ledger) used(u Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -178,12 +149,6 @@
 	l.Usages[key] = u
 }
 
-func (l *Ledger) found(v Violation) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Found = append(l.Found, v)
-}
-
 // Bounds are the bounds of the promises.
 type Bounds struct {
 	Drain, Evacuation, ConfigApply, Rollback time.Duration
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -250,7 +250,7 @@
 		return // steps have removed all; they start others
 	}
 	if err := s.leave(servers[0], DrainServer); err != nil {
-		s.ledger.found(Violation{"stand-in", s.now(), fmt.Sprintf("drain %s: %v", servers[0].instance.ID, err)})
+		record(&s.ledger, &s.ledger.Found, Violation{"stand-in", s.now(), fmt.Sprintf("drain %s: %v", servers[0].instance.ID, err)})
 	}
 }
 
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -86,7 +86,7 @@
 	if err := o.platform.Publish(cfg); err != nil {
 		return err
 	}
-	o.ledger.published(Publication{o.now(), cfg})
+	record(o.ledger, &o.ledger.Publications, Publication{o.now(), cfg})
 	return nil
 }
 
@@ -201,7 +201,7 @@
 
 // depart records that the store accepted that a backend server leaves.
 func (f *fleet) depart(b *backend) {
-	f.ledger.departed(Departure{f.now(), b.instance.ID})
+	record(f.ledger, &f.ledger.Departures, Departure{f.now(), b.instance.ID})
 }
 
 func (f *fleet) Close() error {
--- a/dgsoak/vm.go
+++ b/dgsoak/vm.go
@@ -107,14 +107,14 @@
 	if expected || v.stopping() {
 		return
 	}
-	v.ledger.found(Violation{"K13", v.now(), fmt.Sprintf("process %d of %s ended by itself: %v; log: %s", cmd.Process.Pid, v.name, err, LogFile(v.dir, v.name))})
+	record(v.ledger, &v.ledger.Found, Violation{"K13", v.now(), fmt.Sprintf("process %d of %s ended by itself: %v; log: %s", cmd.Process.Pid, v.name, err, LogFile(v.dir, v.name))})
 	time.Sleep(restartDelay)
 	v.restart()
 }
 
 func (v *vm) restart() {
 	if err := v.start(false); err != nil {
-		v.ledger.found(Violation{"K13", v.now(), fmt.Sprintf("cannot start %s: %v", v.name, err)})
+		record(v.ledger, &v.ledger.Found, Violation{"K13", v.now(), fmt.Sprintf("cannot start %s: %v", v.name, err)})
 	}
 }
 
@@ -131,7 +131,7 @@
 	defer v.mu.Unlock()
 	v.expected = v.expected || final
 	if err := v.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		v.ledger.found(Violation{"K13", v.now(), fmt.Sprintf("cannot signal %s: %v", v.name, err)})
+		record(v.ledger, &v.ledger.Found, Violation{"K13", v.now(), fmt.Sprintf("cannot signal %s: %v", v.name, err)})
 	}
 	return v.ended, v.process
 }
@@ -155,7 +155,7 @@
 		v.kill()
 	}
 	s.EndedAt = v.now()
-	v.ledger.stopped(s)
+	record(v.ledger, &v.ledger.Stops, s)
 	return s.SignalAt
 }
 
