--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -1,6 +1,7 @@
 package dgsoak
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -29,11 +30,26 @@
 
 // apply applies a step and undoes it when its time is over.
 func (s *soak) apply(step Step) {
-	v := s.vms[int(step.Target)%len(s.vms)]
 	if s.opt.Progress != nil {
-		s.opt.Progress(fmt.Sprintf("%.1f s %s for %.1f s, target %d, variant %d", time.Duration(s.now()).Seconds(), step.Kind, step.For.Seconds(), step.Target, step.Variant))
+		s.opt.Progress(step.String())
 	}
 	var err error
+	switch {
+	case step.Kind <= lastVMKind:
+		s.applyToVM(step)
+	case step.Kind <= lastServerKind:
+		err = s.applyToServer(step)
+	default:
+		err = s.applyForOperator(step)
+	}
+	if err != nil {
+		record(&s.ledger, &s.ledger.Found, Violation{"stand-in", s.now(), fmt.Sprintf("step %q: %v", step.Kind, err)})
+	}
+}
+
+// applyToVM applies a step that concerns VMs, the store or the paths between them.
+func (s *soak) applyToVM(step Step) {
+	v := s.vms[int(step.Target)%len(s.vms)]
 	switch step.Kind {
 	case KillVM:
 		s.disturb(v.name, step, func() { s.replace(v, func() { v.kill() }) })
@@ -85,11 +101,17 @@
 		})
 	case LosePeers:
 		s.disturb(v.name, step, func() { s.faultPath(v.gossip, PathFault{Loss: heartbeatLoss}, step.For) })
+	}
+}
+
+// applyForOperator applies a step of operators, or of another writer in the store.
+func (s *soak) applyForOperator(step Step) (err error) {
+	switch step.Kind {
 	case ChangeConfig:
 		err = s.operator.publish(false)
 	case StormConfig:
 		for range stormSize {
-			err = s.operator.publish(false)
+			err = errors.Join(err, s.operator.publish(false))
 			time.Sleep(stormInterval)
 		}
 	case Reshard:
@@ -98,12 +120,8 @@
 		s.opt.Platform.WriteOdd(int(step.Target))
 	case TakeOutZone:
 		err = s.takeOut(zones[int(step.Target)%len(zones)], step.For)
-	default:
-		err = s.applyToServer(step)
-	}
-	if err != nil {
-		record(&s.ledger, &s.ledger.Found, Violation{"stand-in", s.now(), fmt.Sprintf("step %q: %v", step.Kind, err)})
 	}
+	return err
 }
 
 // disturb runs a fault of a VM, or of all if vm is empty, and records it.
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,7 +11,8 @@
 // Kind is a kind of step.
 type Kind uint8
 
-// Kinds of steps.
+// Kinds of steps: first those of VMs and the store, then those of backend servers, then
+// those of operators.
 const (
 	KillVM          Kind = iota // and start it again
 	StopVM                      // as planned, and start it again
@@ -42,6 +44,9 @@
 	Reshard                     // the index has another set of shards
 	WriteOddEntries             // among the registrations
 	kinds                       // number of kinds
+
+	lastVMKind     = LosePeers
+	lastServerKind = ReuseAddress
 )
 
 var kindNames = [kinds]string{
@@ -63,6 +68,11 @@
 	Variant uint32        // selects the fault of the store or of a server
 }
 
+// String describes the step.
+func (s Step) String() string {
+	return fmt.Sprintf("%.1f s %s for %.1f s, target %d, variant %d", s.At.Seconds(), s.Kind, s.For.Seconds(), s.Target, s.Variant)
+}
+
 const (
 	// stepInterval is the mean time between two steps. Most last longer, so that they
 	// overlap.
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -279,7 +279,7 @@
 	r := Report{Seed: s.opt.Seed, VMs: s.opt.VMs, Length: s.opt.Length, Dir: s.opt.Dir}
 	r.Violations = Check(&s.ledger, s.opt.Bounds, s.opt.Untimed)
 	for _, step := range steps {
-		r.Steps = append(r.Steps, fmt.Sprintf("%.1f s %s for %.1f s, target %d, variant %d", step.At.Seconds(), step.Kind, step.For.Seconds(), step.Target, step.Variant))
+		r.Steps = append(r.Steps, step.String())
 	}
 	for _, x := range s.ledger.Exchanges {
 		r.Requests++
