Read the change again: keep the roster's checks of equal VMs, and refuse an unreadable number of missing parts

Two specs of dgroster that named three VMs a zone had been moved to two for tiers with two strong VMs; the check with three stands beside it again, for equal VMs. The soak's caller took a number of missing shards that cannot be read for 0; it breaks K2 now. No change to the daemon.

--- a/dgroster/dgroster_test.go
+++ b/dgroster/dgroster_test.go
@@ -38,6 +38,15 @@
 	return out
 }
 
+// equalTier is tier with 0.4 cores for each VM.
+func equalTier(n int, zones ...string) []dgroster.Candidate {
+	out := tier(n, zones...)
+	for i := range out {
+		out[i].Cores = 0.4
+	}
+	return out
+}
+
 // zonesOf returns the number of VMs by zone.
 func zonesOf(vms []dandeliongap.VMName) map[string]int {
 	out := make(map[string]int)
@@ -58,11 +67,7 @@
 	It("S2, S3 has a few VMs of the zones with replicas (otherwise each of many VMs would know little of each replica)", func() {
 		var r dgroster.Roster
 		Expect(zonesOf(r.Choose(tier(40, "a", "b", "c", "d", "e"), near))).To(Equal(map[string]int{"a": 2, "b": 2}))
-		equal := tier(40, "a", "b", "c", "d", "e")
-		for i := range equal {
-			equal[i].Cores = 0.4
-		}
-		Expect(zonesOf(r.Choose(equal, near))).To(Equal(map[string]int{"a": 3, "b": 3}))
+		Expect(zonesOf(r.Choose(equalTier(40, "a", "b", "c", "d", "e"), near))).To(Equal(map[string]int{"a": 3, "b": 3}))
 	})
 	// Guards against searches that are late because one VM in three has a quarter of the
 	// processor of the others and gets as many callers (mnttla-ladder-grown trouble-1: 48 of
@@ -94,6 +99,9 @@
 		got := zonesOf(r.Choose(tier(40, "a", "b", "c"), dgroster.Nearness{"c": 100}))
 		Expect(got).To(HaveLen(2))
 		Expect(got).To(HaveKeyWithValue("c", 2))
+		got = zonesOf(r.Choose(equalTier(40, "a", "b", "c"), dgroster.Nearness{"c": 100}))
+		Expect(got).To(HaveLen(2))
+		Expect(got).To(HaveKeyWithValue("c", 3))
 	})
 	It("S3 replaces VMs that are lost, also a whole zone", func() {
 		var r dgroster.Roster
@@ -104,6 +112,8 @@
 		Expect(second).NotTo(ContainElement(first[0]))
 		third := r.Choose(without(all, func(c dgroster.Candidate) bool { return c.Zone == "a" }), near)
 		Expect(zonesOf(third)).To(Equal(map[string]int{"b": 2, "c": 2}))
+		equal := without(equalTier(40, "a", "b", "c"), func(c dgroster.Candidate) bool { return c.Zone == "a" })
+		Expect(zonesOf(r.Choose(equal, near))).To(Equal(map[string]int{"b": 3, "c": 3}))
 	})
 	It("S3 has all VMs of a tier that has no more than it needs", func() {
 		var r dgroster.Roster
--- a/dgsoak/check_test.go
+++ b/dgsoak/check_test.go
@@ -146,6 +146,7 @@
 			r := &s.Exchanges["searchB"].Response
 			r.Stamps = r.Stamps[:2]
 		}},
+		{"a number of missing parts that cannot be read", "K2", func(s *scene) { s.Exchanges["searchB"].Response.Missing = dgsoak.MissingUnreadable }},
 		{"too few parts", "K2", func(s *scene) {
 			r := &s.Exchanges["searchB"].Response
 			r.Stamps, r.Missing = r.Stamps[:1], 2
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -133,6 +133,10 @@
 	Deadline time.Duration
 }
 
+// MissingUnreadable is the value of Response.Missing if the response states no number. It
+// fits no configuration (K2).
+const MissingUnreadable = -1
+
 // Response is what a caller got. Status is 0 if no whole response arrived.
 type Response struct {
 	Status  int
