--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -21,6 +22,8 @@
 
 	// watchLimit is the time after which the store cuts off a watch that waits; 0: never.
 	watchLimit time.Duration
+	// indent formats what the store answers with line breaks and indentation.
+	indent bool
 }
 
 type object struct {
@@ -109,7 +112,7 @@
 		}
 	}
 	slices.Sort(items)
-	reply(w, http.StatusOK, message("list", "items", strings.Join(items, ","), "revision", fmt.Sprint(s.revision)))
+	s.reply(w, http.StatusOK, message("list", "items", strings.Join(items, ","), "revision", fmt.Sprint(s.revision)))
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -125,13 +128,13 @@
 		var events []string
 		for _, e := range s.history {
 			if strings.HasPrefix(e.key, kind+"/") && e.object.revision > since {
-				events = append(events, fmt.Sprintf(`{"Deleted":%t,"Object":%s}`, e.deleted, e.object.text()))
+				events = append(events, fmt.Sprintf(`{"Object":%s,"Deleted":%t}`, e.object.text(), e.deleted))
 			}
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || over {
-			reply(w, http.StatusOK, message("events", "items", strings.Join(events, ","), "revision", fmt.Sprint(revision)))
+			s.reply(w, http.StatusOK, message("events", "items", strings.Join(events, ","), "revision", fmt.Sprint(revision)))
 			return
 		}
 		select {
@@ -172,21 +175,28 @@
 	switch {
 	case r.Method == http.MethodPost && found,
 		r.Method != http.MethodGet && found && sent.Meta.Revision != 0 && sent.Meta.Revision != o.revision:
-		reply(w, http.StatusConflict, o.text())
+		s.reply(w, http.StatusConflict, o.text())
 	case r.Method != http.MethodPost && !found:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
-		reply(w, http.StatusOK, s.write(kind, name, string(sent.Spec)).text())
+		s.reply(w, http.StatusOK, s.write(kind, name, string(sent.Spec)).text())
 	case r.Method == http.MethodDelete:
 		s.erase(kind + "/" + name)
-		reply(w, http.StatusOK, o.text())
+		s.reply(w, http.StatusOK, o.text())
 	default:
-		reply(w, http.StatusOK, o.text())
+		s.reply(w, http.StatusOK, o.text())
 	}
 }
 
-func reply(w http.ResponseWriter, status int, body string) {
+func (s *store) reply(w http.ResponseWriter, status int, body string) {
+	text := []byte(body)
+	if s.indent {
+		var b bytes.Buffer
+		if json.Indent(&b, text, "", "  ") == nil {
+			text = b.Bytes()
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(body))
+	_, _ = w.Write(text)
 }
