--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -43,7 +42,7 @@
 		if err != nil {
 			return false, err
 		}
-		rep := &server{id: fmt.Sprintf("i-%d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		rep := &server{id: fmt.Sprintf("i-%d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, r *http.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			id := r.Header.Get(headerID)
 			rep.ran(id)
--- a/review/standin/indented.go
+++ b/review/standin/indented.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,9 +10,12 @@
 )
 
 const (
-	indentedServers = 4
-	indentedRate    = 50 // requests a second
+	indentedServers = 2
+	indentedRate    = 100 // requests a second
 	indentedTime    = 12 * time.Second
+	// indentedWork is the time that a request takes at a replica. Several are in flight at a
+	// time, so that the VM needs both replicas.
+	indentedWork = 30 * time.Millisecond
 )
 
 func init() { cases["indented"] = playIndented }
@@ -31,7 +33,7 @@
 		if err != nil {
 			return false, err
 		}
-		rep := &server{id: fmt.Sprintf("i-%d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		rep := &server{id: fmt.Sprintf("i-%d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, r *http.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			id := r.Header.Get(headerID)
 			rep.ran(id)
@@ -40,6 +42,7 @@
 				arrived[id] = time.Now()
 				mu.Unlock()
 			}
+			time.Sleep(indentedWork)
 			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 3\r\n\r\nok\n", headerID, id, headerStamp, rep.stamp(id))
 			return err == nil
 		}}
--- a/review/standin/removed.go
+++ b/review/standin/removed.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -47,7 +46,7 @@
 		if err != nil {
 			return false, err
 		}
-		rep := &server{id: fmt.Sprintf("i-%02d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		rep := &server{id: fmt.Sprintf("i-%02d", i), service: "ledger", log: s.log, answer: func(rep *server, c net.Conn, r *http.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			id := r.Header.Get(headerID)
 			mu.Lock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,7 +19,7 @@
 	log               *record
 	// answer serves a request whose head is read. It reports whether the connection may
 	// carry another request.
-	answer func(s *server, c net.Conn, br *bufio.Reader, r *http.Request) (keep bool)
+	answer func(s *server, c net.Conn, r *http.Request) (keep bool)
 
 	mu   sync.Mutex
 	runs map[string]int // by request id
@@ -57,7 +57,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerInstance, s.id)
 			continue
 		}
-		if !s.answer(s, c, br, r) {
+		if !s.answer(s, c, r) {
 			return
 		}
 	}
--- a/review/standin/truncated.go
+++ b/review/standin/truncated.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -31,8 +30,8 @@
 	var count atomic.Int64
 	var mu sync.Mutex
 	whole := make(map[string]bool) // by stamp and request: the replica's answer was whole
-	answer := func(faulty bool) func(*server, net.Conn, *bufio.Reader, *http.Request) bool {
-		return func(rep *server, c net.Conn, br *bufio.Reader, r *http.Request) bool {
+	answer := func(faulty bool) func(*server, net.Conn, *http.Request) bool {
+		return func(rep *server, c net.Conn, r *http.Request) bool {
 			id := r.Header.Get(headerID)
 			rep.ran(id)
 			body := bytes.Repeat([]byte(id+"."), answerBytes/(len(id)+1))
