--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,8 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +37,7 @@
 func init() {
 	// The VMs end with the thread that started them, so main keeps its own.
 	runtime.LockOSThread()
+	signal.Ignore(syscall.SIGPIPE) // a closed output does not end a case
 }
 
 func main() {
@@ -52,6 +55,13 @@
 		return exitFailed
 	}
 	defer os.RemoveAll(tmp)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		_ = os.RemoveAll(tmp)
+		os.Exit(exitFailed) // ends the VMs too
+	}()
 	s := &stage{dir: dir, tmp: tmp, trouble: os.Getenv("TROUBLE") != "0"}
 	if s.log, err = newRecord(dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
