Refuse requests that a planned stop would cut off

Seen: callers that sent requests of 2 s with a deadline of 5 s to a stopping VM, 4.0 to 4.5 s after SIGTERM, got no response: the requests ran at a backend server and their connections ended at SIGKILL.

Cause: Drain refused new requests only from 0.75 of the shutdown limit on and did not compare their deadlines with the end of the process; requests that outlasted the limit had no response at all.

Change: dgadmit.Stop is the schedule of a stop. Every request is accepted while callers may still use an older directory answer (three times its TTL, half of the limit at most); then only those whose deadline lies before 0.95 of the limit (A3). What is in progress at that time is ended with 504, or 503 if nothing was sent (A6, G9). This works because a request that is accepted late has its final response by its deadline, which lies before the end, and all others get one at 0.95.

Ruled out: refusing everything from half of the limit on (callers without a newer directory answer lose short requests that can be answered).

--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -10,7 +10,9 @@
 //	A2  A request without a matching route is refused permanently. A VM whose store is
 //	    unavailable refuses it temporarily instead, because a newer configuration may
 //	    have the route.
-//	A3  A VM that shuts down refuses requests at once, so that the caller has time to
+//	A3  A VM that shuts down accepts requests for as long as callers may use an older
+//	    answer of the directory. After that it refuses at once those whose deadline lies
+//	    after A6: they could be cut off while they run, and the caller still has time to
 //	    try another VM.
 //	A4  A request whose usable shards cannot reach the route's minimum coverage is
 //	    refused at once. This keeps load off the backend servers when the replicas of
@@ -18,6 +20,8 @@
 //	    The Retry-After is longer if replicas are not just down but not registered.
 //	A5  If replicas have asked for a pause, the Retry-After under A4 is not before
 //	    enough of the pauses are over.
+//	A6  Requests that are still in progress shortly before the limit of a shutdown are
+//	    ended, so that their callers get a response before the process is killed.
 package dgadmit
 
 import (
--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -54,4 +54,25 @@
 		Entry("single service", 1, 1, 0.0, false),
 		Entry("single service down", 0, 1, 0.0, true),
 	)
+	DescribeTable("A3: accept a request during a planned stop only if it is answered before the process ends or its caller cannot know of the stop yet (otherwise it could be cut off after it was sent; review/2)",
+		func(limit, since, left time.Duration, refused bool) {
+			r := dgadmit.Stop{Limit: limit, DirectoryTTL: time.Second}.Admit(since, left)
+			Expect(r.Status != 0).To(Equal(refused))
+		},
+		Entry("at the begin", 6*time.Second, time.Duration(0), time.Minute, false),
+		Entry("while callers use an old answer of the directory", 6*time.Second, 3*time.Second, 5*time.Second, false),
+		Entry("a long deadline after that", 6*time.Second, 3100*time.Millisecond, 5*time.Second, true),
+		Entry("a short deadline after that", 6*time.Second, 4*time.Second, 1200*time.Millisecond, false),
+		Entry("a short deadline too late", 6*time.Second, 5*time.Second, 1200*time.Millisecond, true),
+		Entry("a long limit does not extend the time in which every request is accepted", 30*time.Second, 4*time.Second, 26*time.Second, true),
+		Entry("a long limit", 30*time.Second, 20*time.Second, 5*time.Second, false),
+		Entry("a limit shorter than callers keep an answer", 2*time.Second, 1500*time.Millisecond, 2*time.Second, true),
+		Entry("at the end", 6*time.Second, 6*time.Second, time.Duration(0), true),
+	)
+	It("A6: end the requests in progress before the process is killed, after those accepted late have reached their deadline", func() {
+		s := dgadmit.Stop{Limit: 6 * time.Second, DirectoryTTL: time.Second}
+		Expect(s.AnswerBy()).To(BeNumerically("<", s.Limit))
+		Expect(s.AnswerBy()).To(BeNumerically(">", s.OpenUntil()))
+		Expect(s.Admit(s.AnswerBy()-time.Second, time.Second).Status).To(BeZero())
+	})
 })
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgbackend"
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dgbudget"
@@ -59,8 +60,8 @@
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
 	packed         packedCache    // of mirror
 	control        *control
-	draining       atomic.Bool // Drain has been called; no longer ready
-	refusing       atomic.Bool // new requests are refused
+	stopping       atomic.Pointer[plannedStop] // set once Drain has been called
+	endRequests    chan struct{}               // closed when Drain ends the requests in progress
 
 	active   activeSet
 	attempts atomic.Int64 // attempts started
@@ -88,7 +89,7 @@
 		log:      newEventLog(o.Log, o.Settings.VM),
 		forward:  dgbackend.NewForwarder(o.Dialect.Backend),
 		balancer: dgbalance.New(o.Settings.VM, o.Settings.Zone, rng),
-		stop:     make(chan struct{}),
+		stop:     make(chan struct{}), endRequests: make(chan struct{}),
 	}
 	e.budget = dgbudget.New(dgbudget.Options{
 		Ratio: o.Settings.RetryRatio, Slack: o.Settings.RetrySlack, Window: o.Settings.RetryWindow, InitialStart: o.Settings.FirstStart,
@@ -176,13 +177,6 @@
 	return dandeliongap.CallerLimits{}
 }
 
-// Phases of Drain, as fractions of the shutdown limit.
-const (
-	drainMinShare    = 0.53 // serve at least this long: callers may still have the address cached
-	drainRefuseShare = 0.75 // refuse new requests after this
-	drainMaxShare    = 0.87 // stop waiting for requests in progress after this
-)
-
 // Reload applies new settings. The addresses, the names of the VM and its availability
 // zone, and the retry window keep their values from Start. If the new values differ from
 // these, the log line says that a restart is needed.
@@ -204,40 +198,57 @@
 	e.log.event("reload failed").Err(err).Str("Choice", "keep the last settings").Send()
 }
 
-// Drain prepares the VM for a graceful exit: it takes the VM out of the directory,
-// finishes the requests in progress, and serves new ones while there is time left
-// for them. It returns when the process may exit, after at most drainMaxShare of the
-// shutdown limit.
+// plannedStop is a stop that has begun.
+type plannedStop struct {
+	dgadmit.Stop
+	begin time.Time
+}
+
+// at returns the point in time that is d after the begin of the stop.
+func (s *plannedStop) at(d time.Duration) time.Time { return s.begin.Add(d) }
+
+// Drain prepares the VM for a graceful exit: it takes the VM out of the directory, serves
+// the requests that can be answered in time, and refuses others (dgadmit A3, A6). It
+// returns when the process may exit.
 func (e *Edge) Drain() {
-	begin := time.Now()
-	limit := e.latestSettings.Load().ShutdownLimit
-	at := func(share float64) time.Time { return begin.Add(time.Duration(share * float64(limit))) }
-	e.draining.Store(true)
+	s := e.latestSettings.Load()
+	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, time.Now()}
+	e.stopping.Store(stop)
 	e.control.requestPublish()
-	e.log.event("stop").Int("Active", e.active.len()).Send()
-	idlePolls := 0
-	for time.Now().Before(at(drainMaxShare)) {
+	e.log.event("stop").Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
+	minEnd := stop.at(time.Duration(drainMinShare * float64(stop.Limit)))
+	for idlePolls := 0; time.Now().Before(stop.at(stop.AnswerBy())); {
 		time.Sleep(drainPollInterval)
-		if time.Now().After(at(drainRefuseShare)) {
-			e.refusing.Store(true)
-		}
 		if e.active.len() > 0 {
 			idlePolls = 0
 			continue
 		}
 		idlePolls++
-		if time.Now().After(at(drainMinShare)) && idlePolls > drainIdlePolls {
+		if time.Now().After(minEnd) && idlePolls > drainIdlePolls {
 			break
 		}
 	}
-	e.log.event("stopped").Int("Active", e.active.len()).Dur("Took", time.Since(begin)).Send()
+	ended := e.active.len()
+	if ended > 0 {
+		close(e.endRequests)
+	}
+	for e.active.len() > 0 && time.Now().Before(stop.at(stop.Limit)) {
+		time.Sleep(endPollInterval)
+	}
+	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).Dur("Took", time.Since(stop.begin)).Send()
 }
 
 const (
+	// drainMinShare is the share of the shutdown limit for which Drain at least lasts,
+	// because callers may still use the address.
+	drainMinShare     = 0.53
 	drainPollInterval = 50 * time.Millisecond
 	// drainIdlePolls is the number of polls in a row without a request in progress that
 	// must be exceeded before Drain returns early.
 	drainIdlePolls = 8
+	// endPollInterval is the time between two checks of whether the requests that Drain
+	// ended have their response.
+	endPollInterval = 5 * time.Millisecond
 )
 
 // Close stops all activity immediately and waits for all goroutines to end.
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -47,7 +47,7 @@
 		if cc, ok := ctx.Conn().(*callerConn); ok {
 			cc.endRequest()
 		}
-		if e.draining.Load() {
+		if e.draining() {
 			ctx.SetConnectionClose()
 		}
 	}()
@@ -110,11 +110,13 @@
 	return req, dgadmit.Refusal{}
 }
 
-// admit refuses a request in the last phase of Drain, or if too few of the route's
-// shards have usable replicas.
+// admit refuses a request that Drain may not be able to finish, or if too few of the
+// route's shards have usable replicas.
 func (e *Edge) admit(req *request) dgadmit.Refusal {
-	if e.refusing.Load() {
-		return dgadmit.Leaving()
+	if stop := e.stopping.Load(); stop != nil {
+		if r := stop.Admit(time.Since(stop.begin), req.deadline.Sub(e.now())); r.Status != 0 {
+			return r
+		}
 	}
 	return e.checkCoverage(req)
 }
@@ -236,7 +238,10 @@
 }
 
 // serving reports whether the VM accepts new callers.
-func (e *Edge) serving() bool { return e.view.Load().ready && !e.draining.Load() }
+func (e *Edge) serving() bool { return e.view.Load().ready && !e.draining() }
+
+// draining reports whether Drain has been called.
+func (e *Edge) draining() bool { return e.stopping.Load() != nil }
 
 // handleDirectory serves the directory: the addresses of the VMs that accept callers.
 func (e *Edge) handleDirectory(ctx *fasthttp.RequestCtx) {
@@ -259,7 +264,7 @@
 
 const (
 	// directoryTTL is how long callers may cache a directory response. Some callers
-	// cache it three times as long, and Drain waits for these (see drainMinShare).
+	// cache it three times as long, and Drain waits for these (dgadmit A3).
 	directoryTTL = time.Second
 	// startupDirectoryTTL replaces directoryTTL during startupPeriod. The directory may
 	// still lack other VMs then, and callers that cached it would all stay with this VM.
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -88,8 +88,8 @@
 	ex.finish(ctx.Response.StatusCode(), took, disconnected)
 }
 
-// loop runs the request until there is a verdict. It returns false if the caller has
-// disconnected.
+// loop runs the request until there is a verdict or Drain ends it. It returns false if the
+// caller has disconnected.
 func (ex *execution) loop(active *activeRequest) bool {
 	t := time.NewTimer(time.Hour)
 	defer t.Stop()
@@ -115,6 +115,12 @@
 		case <-t.C:
 		case <-active.disconnected:
 			return false
+		case <-ex.e.endRequests:
+			for _, r := range ex.inbox.take() {
+				ex.handleResult(r)
+			}
+			ex.verdict = ex.gather.Interrupt()
+			return true
 		}
 	}
 }
--- a/dggather/dggather.go
+++ b/dggather/dggather.go
@@ -31,6 +31,8 @@
 //	    coverage is sufficient, as timed out otherwise.
 //	G8  "Not run" is reported only if no attempt can have run: each of them reached no
 //	    replica, or one that reported that it did not run the request.
+//	G9  A request that must end before its deadline, because its VM does, ends as under
+//	    G7 and G8.
 package dggather
 
 import (
@@ -211,6 +213,14 @@
 	return now >= at, extra, max(at, 1)
 }
 
+// Interrupt ends the request before its deadline and returns the verdict (G9).
+func (g *Gather) Interrupt() Verdict {
+	if g.partsReceived == len(g.shards) {
+		return Complete
+	}
+	return g.end(DeadlineExceeded)
+}
+
 // end returns the verdict of a request that ends without all parts (G6 to G8):
 // Partial if the coverage is sufficient, NotRun if no replica can have run a
 // sub-request, and v otherwise.
--- a/dggather/dggather_test.go
+++ b/dggather/dggather_test.go
@@ -205,6 +205,17 @@
 		Expect(verdictAt(g, ms(1184))).To(Equal(dggather.InProgress))
 		Expect(verdictAt(g, ms(1185))).To(Equal(dggather.DeadlineExceeded))
 	})
+	It("G9 ends a request early with what it has, and reports it as not run only if nothing was sent (guards against requests without a response when their VM ends)", func() {
+		g := newSearch(nil)
+		Expect(g.Interrupt()).To(Equal(dggather.NotRun))
+		g = newSingle(false)
+		Expect(sendDue(g, ms(0))).To(HaveLen(1))
+		Expect(g.Interrupt()).To(Equal(dggather.DeadlineExceeded))
+		g = newSingle(false)
+		Expect(sendDue(g, ms(0))).To(HaveLen(1))
+		g.PartReceived(0)
+		Expect(g.Interrupt()).To(Equal(dggather.Complete))
+	})
 	It("G8 does not report \"not run\" while an attempt may run (guards against callers that repeat a request that ran)", func() {
 		g := newSingle(true)
 		sendDue(g, 0)
