Count a long response towards the memory limit until its caller has received it

Seen: a report of another operator, that a faulty backend server made a VM run out of memory. Bytes without end are given up here (nine forms in dgbackend's tests, and in the soak). But 16 callers that do not read and responses of 6 MB left bytes of whole responses in memory, beyond MaxResponseMemory and without a bound.

Cause: copyResponse copied the body for the HTTP server, and the reservation was released when the handler returned, before the server wrote the response.

Change: a body that counts towards the limit goes to the server as a stream without a copy, and is released when the server closes the stream: after the write, or when the connection is dropped.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -90,6 +90,19 @@
 	body bodyReader
 }
 
+// TakeBody returns the body of the response. If the body counts towards
+// MaxResponseMemory, it does so until release is called, also after Release; otherwise
+// release is nil.
+func (r *Reply) TakeBody() (body []byte, release func()) {
+	body = r.Resp.Body()
+	if r.body.reserved == 0 {
+		return body, nil
+	}
+	b := r.body
+	r.body = bodyReader{}
+	return body, sync.OnceFunc(b.release)
+}
+
 // Release frees the response. It must be called once for every reply, after the last
 // use of Resp.
 func (r *Reply) Release() {
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -1,6 +1,7 @@
 package dgedge
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -371,7 +372,7 @@
 func (ex *execution) writeResponse(ctx *fasthttp.RequestCtx) {
 	switch {
 	case ex.response.Resp != nil:
-		copyResponse(ctx, ex.response.Resp)
+		copyResponse(ctx, &ex.response)
 	case ex.verdict == dggather.Complete || ex.verdict == dggather.Partial:
 		in, total := ex.gather.Coverage()
 		ctx.SetStatusCode(fasthttp.StatusOK)
@@ -380,7 +381,7 @@
 		ctx.Response.Header.Set(ex.e.opt.Dialect.MissingShardsHeader, strconv.Itoa(total-in))
 		ctx.SetBody(dggather.Merge(ex.parts, ex.req.route.TopK))
 	case ex.fallback.Resp != nil:
-		copyResponse(ctx, ex.fallback.Resp)
+		copyResponse(ctx, &ex.fallback)
 	case ex.verdict == dggather.NotRun:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		retry := max(notRunRetryAfter, ex.e.checkCoverage(ex.req).RetryAfter)
@@ -398,15 +399,33 @@
 const notRunRetryAfter = 50 * time.Millisecond
 
 // copyResponse copies a replica's response to the caller, except for the headers that
-// apply only to the connection to the replica.
-func copyResponse(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+// apply only to the connection to the replica. The memory of a long body stays reserved
+// until the caller has received it.
+func copyResponse(ctx *fasthttp.RequestCtx, reply *dgbackend.Reply) {
 	h := &ctx.Response.Header
-	resp.Header.CopyTo(h)
+	reply.Resp.Header.CopyTo(h)
 	for name := range connectionHeaders {
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
-	ctx.Response.SetBodyRaw(append([]byte(nil), resp.Body()...))
+	body, release := reply.TakeBody()
+	if release == nil {
+		ctx.Response.SetBodyRaw(bytes.Clone(body))
+		return
+	}
+	ctx.Response.SetBodyStream(&reservedBody{Reader: bytes.NewReader(body), release: release}, len(body))
+}
+
+// reservedBody is a body that counts towards the memory for responses until it is closed.
+type reservedBody struct {
+	*bytes.Reader
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *reservedBody) Close() error {
+	b.release()
+	return nil
 }
 
 // finish updates the metrics and logs the end of a request.
