Accept callers again after descriptors have run out

Cause: the server of fasthttp ends when accepting fails; the daemon logged it and went on without the listener. Nothing limited the connections of callers.

Change: all listeners accept on after a failure until they are closed, also that of dandeliongapd. Callers get three quarters of the descriptors (dgadmit A7); further connections are closed unread, so that callers can try another VM at once instead of waiting in the queue of the socket.

Ruled out: ending the process when a listener fails; open connections would be lost.

--- a/cmd/dandeliongap-edge/process_test.go
+++ b/cmd/dandeliongap-edge/process_test.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"dandeliongap.example/dandeliongap/platform"
 	. "github.com/onsi/gomega"
@@ -95,6 +97,51 @@
 	g.Expect(out.text()).To(ContainSubstring(`"stopped"`))
 }
 
+// TestCrowd guards against a process that accepts no caller again once a crowd of callers
+// has used up its descriptors (review/3).
+func TestCrowd(t *testing.T) {
+	const maxDescriptors, crowd = 128, 400
+	g := NewWithT(t)
+	program, ready := build(t, g), freeAddress(g)
+	text := settings(g, ready, "52")
+	entry := regexp.MustCompile(`entry listen = (\S+)`).FindStringSubmatch(text)[1]
+	file := filepath.Join(t.TempDir(), "edge.ini")
+	g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	var out outputBuffer
+	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", maxDescriptors, program))
+	cmd.Env = append(os.Environ(), "DANDELIONGAP_SETTINGS="+file)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	g.Expect(cmd.Start()).To(Succeed())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	status := func(url string) func() int {
+		return func() int {
+			resp, err := client.Get(url)
+			if err != nil {
+				return 0
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+	}
+	g.Eventually(status("http://"+entry+"/x"), waitLimit).Should(Equal(http.StatusServiceUnavailable))
+
+	var conns []net.Conn
+	for range crowd {
+		c, err := net.Dial("tcp", entry)
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, c)
+	}
+	g.Eventually(status("http://"+ready+platform.Dialect().ReadyPath), waitLimit).Should(Equal(http.StatusServiceUnavailable), "readiness check while the crowd is there")
+	for _, c := range conns {
+		g.Expect(c.Close()).To(Succeed())
+	}
+	g.Eventually(status("http://"+entry+"/x"), waitLimit).Should(Equal(http.StatusServiceUnavailable), "new caller after the crowd has left: %s", out.text())
+
+	g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(cmd.Wait()).To(Succeed(), out.text())
+}
+
 // TestSettings guards against invalid settings that pass --check.
 func TestSettings(t *testing.T) {
 	g := NewWithT(t)
--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -22,6 +22,9 @@
 //	    enough of the pauses are over.
 //	A6  Requests that are still in progress shortly before the limit of a shutdown are
 //	    ended, so that their callers get a response before the process is killed.
+//	A7  A VM whose callers have three quarters of its descriptors closes further
+//	    connections of callers at once, without reading from them, so that these callers
+//	    can try another VM. The rest is for backend servers, the store and other VMs.
 package dgadmit
 
 import (
@@ -121,3 +124,17 @@
 func HeaderTooLarge(limit int) Refusal {
 	return Refusal{http.StatusRequestHeaderFieldsTooLarge, "A0", "HeaderTooLarge", fmt.Sprintf("headers above %d bytes", limit), 0}
 }
+
+// maxCallerShare is the share of the descriptors that connections of callers may take
+// (A7).
+const maxCallerShare = 0.75
+
+// MaxCallerConnections returns the number of connections of callers that a process may
+// have open (A7), given its limit of descriptors; 0 means no limit.
+func MaxCallerConnections(descriptors uint64) int64 {
+	return int64(min(maxCallerShare*float64(descriptors), maxDescriptors))
+}
+
+// maxDescriptors is more than a process can use; some systems state larger limits for
+// "unlimited".
+const maxDescriptors = 1 << 30
--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -75,4 +75,12 @@
 		Expect(s.AnswerBy()).To(BeNumerically(">", s.OpenUntil()))
 		Expect(s.Admit(s.AnswerBy()-time.Second, time.Second).Status).To(BeZero())
 	})
+	DescribeTable("A7: leave a quarter of the descriptors to everything but callers (otherwise a crowd of callers keeps a VM from reaching backend servers and the store; review/3)",
+		func(descriptors uint64, want int64) {
+			Expect(dgadmit.MaxCallerConnections(descriptors)).To(Equal(want))
+		},
+		Entry("a VM of the usual size", uint64(4100), int64(3075)),
+		Entry("unknown", uint64(0), int64(0)),
+		Entry("unlimited", ^uint64(0), int64(1<<30)),
+	)
 })
--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,23 +21,35 @@
 
 // callerListener applies the timeouts of the current configuration to the
 // connections of callers. The timeouts of a fasthttp server cannot change while it
-// runs.
+// runs. It also limits the number of these connections (dgadmit A7).
 type callerListener struct {
 	net.Listener
-	limits func() dandeliongap.CallerLimits
+	limits   func() dandeliongap.CallerLimits
+	maxOpen  int64  // connections open at the same time; 0: no limit
+	rejected func() // called for each connection that is closed because of maxOpen
+
+	open atomic.Int64
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		if n := l.open.Add(1); l.maxOpen > 0 && n > l.maxOpen {
+			l.open.Add(-1)
+			_ = tcp.Close()
+			l.rejected()
+			continue
+		}
+		return &callerConn{TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 	}
-	return &callerConn{TCPConn: tcp, limits: l.limits, timeoutStart: time.Now()}, nil
 }
 
 // callerConn is a connection of a caller. Only one goroutine may read from it.
@@ -46,6 +59,14 @@
 	timeoutStart time.Time   // end of the last request, or arrival of the next one's first byte
 	received     int         // bytes received of the next request
 	requestDone  atomic.Bool // a request has ended since the last Read
+	closed       func()      // releases the place in callerListener; called again, it does nothing
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	err := c.TCPConn.Close()
+	c.closed()
+	return err
 }
 
 // endRequest records that the current request has ended. The next Read restarts the
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -13,11 +14,13 @@
 	"dandeliongap.example/dandeliongap/dgbackend"
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dgbudget"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"dandeliongap.example/dandeliongap/dgroute"
 	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 )
 
 // Dialect defines the headers, paths and response formats that a platform's callers
@@ -65,7 +68,6 @@
 
 	active   activeSet
 	attempts atomic.Int64 // attempts started
-	entry    *callerListener
 	servers  []*fasthttp.Server
 	stop     chan struct{}
 	wg       conc.WaitGroup
@@ -117,8 +119,10 @@
 	if err != nil {
 		return err
 	}
-	e.entry = &callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return e.limits() }}
-	e.serve(e.entry, &fasthttp.Server{
+	e.serve(&callerListener{
+		Listener: e.retryAccept(l), limits: e.limits, maxOpen: dgadmit.MaxCallerConnections(descriptorLimit()),
+		rejected: func() { e.stats.add("Refused.Connection") },
+	}, &fasthttp.Server{
 		Handler:                       e.handle,
 		ReadBufferSize:                maxEntryHeaderBytes,
 		MaxRequestBodySize:            maxEntryBodyBytes,
@@ -143,7 +147,7 @@
 		if err != nil {
 			return err
 		}
-		e.serve(l, &fasthttp.Server{
+		e.serve(e.retryAccept(l), &fasthttp.Server{
 			Handler: h, NoDefaultServerHeader: true, IdleTimeout: auxIdleTimeout, ReadTimeout: auxIdleTimeout, Logger: discardLogger{},
 		})
 	}
@@ -170,6 +174,32 @@
 	})
 }
 
+// retryAccept returns a listener that outlasts failures to accept a connection. It logs
+// one line for failures that follow each other closely.
+func (e *Edge) retryAccept(l net.Listener) net.Listener {
+	once := rate.Sometimes{Interval: acceptLogInterval}
+	return &dghttp.RetryListener{Listener: l, Failed: func(err error) {
+		e.stats.add("AcceptFailures")
+		once.Do(func() {
+			e.log.event("accept failed").Str("Address", l.Addr().String()).Err(err).Str("Choice", "go on accepting").Send()
+		})
+	}}
+}
+
+// acceptLogInterval is the least time between two log lines about failures to accept
+// connections on one listener.
+const acceptLogInterval = 5 * time.Second
+
+// descriptorLimit returns the number of descriptors that the process may have open, or 0
+// if it is unknown.
+func descriptorLimit() uint64 {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	return limit.Cur
+}
+
 func (e *Edge) limits() dandeliongap.CallerLimits {
 	if t := e.view.Load().table; t != nil {
 		return t.Config.Limits
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"dandeliongap.example/dandeliongap/dgpeer"
 	"dandeliongap.example/dandeliongap/dgsettings"
 	"dandeliongap.example/dandeliongap/dgwire"
@@ -214,7 +215,9 @@
 		IdleTimeout:       idleTimeout,
 	}
 	n.servers.Go(func() {
-		if err := n.app.Listener(n.callers, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		// The server would end at the first failure to accept.
+		callers := &dghttp.RetryListener{Listener: n.callers, Failed: func(err error) { n.log.Warn("cannot accept a caller's connection", "Error", err) }}
+		if err := n.app.Listener(callers, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			n.log.Error("listener for callers failed", "Error", err)
 		}
 	})
