Watch on after the store has cut off a watch that waited

Cause: a cut-off watch counted as a failed call. After two without an answer in between the follower waited up to 1.5 s for another one to reach the store (F3); then the removal was kept for 2.2 s as one that may have lapsed in an outage (dgcatalog D3), and up to 0.25 s more until the next tick. By the same cause unknown routes got 503 for 404.

Change: a watch whose connection ends after it has waited is no failure; the follower checks the store at once (F6), which tells a cut from an outage. The end of D3 has a timer of its own. D3 itself still applies: the store may have been away while the VM waited.

Ruled out: dropping a removed registration at once after a cut; after an unnoticed outage that refuses everything until the servers have registered again.

--- a/dgcatalog/dgcatalog.go
+++ b/dgcatalog/dgcatalog.go
@@ -10,7 +10,8 @@
 //	    ReregistrationGrace after it is available again. A registration whose removal
 //	    is received while the store is unavailable stays in use for
 //	    ReregistrationGrace from then. Those that are still missing at the end are
-//	    dropped. A replica that was draining is dropped at once.
+//	    dropped. A replica that was draining is dropped at once. A watch that the store
+//	    cut off counts as a moment in which it was unavailable.
 package dgcatalog
 
 import (
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -35,6 +35,7 @@
 	unconfirmed bool // may be some seconds older than the call (F4)
 	fromVM      bool // pulled from another VM, not read from the store
 	interrupted bool // a hint canceled the watch; there is no answer
+	cutOff      bool // the store cut off the watch; there is no answer (F6)
 	objects     []dandeliongap.Object
 	version     dandeliongap.Version // the batch contains all changes up to here
 	err         error
@@ -147,7 +148,13 @@
 	c.wg.Go(c.keepRegistered)
 	tick := time.NewTicker(dgpresence.HeartbeatInterval)
 	defer tick.Stop()
+	expiry := time.NewTimer(0)
+	defer expiry.Stop()
 	for {
+		expiry.Stop()
+		if c.nextExpiry > 0 {
+			expiry.Reset(c.nextExpiry.Sub(c.e.now()))
+		}
 		select {
 		case <-c.ctx.Done():
 			c.wg.Wait()
@@ -162,6 +169,8 @@
 			c.sendHeartbeats()
 		case <-tick.C:
 			c.tick()
+		case <-expiry.C:
+			c.propagate()
 		}
 	}
 }
@@ -190,6 +199,11 @@
 		c.storeFailed(b)
 		return
 	}
+	if b.cutOff {
+		c.catalog.StoreUnavailable()
+		c.e.stats.add("WatchesCutOff")
+		return
+	}
 	if !b.fromVM {
 		c.storeAnswered(now, b.kind)
 	}
@@ -357,7 +371,7 @@
 	c.sendHeartbeats()
 	c.updateRoster(now)
 	c.hintFollowers(now)
-	if c.nextExpiry > 0 && now >= c.nextExpiry || !slices.Equal(c.sharers, dgroster.ConnectionSharers(c.onRoster, c.nominal)) {
+	if !slices.Equal(c.sharers, dgroster.ConnectionSharers(c.onRoster, c.nominal)) {
 		c.propagate()
 	} else {
 		c.publish()
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -22,6 +22,9 @@
 // NextWatchDelay exports nextWatchDelay for tests.
 var NextWatchDelay = nextWatchDelay
 
+// CutWhileWaiting exports cutWhileWaiting for tests.
+var CutWhileWaiting = cutWhileWaiting
+
 // Unpack decodes a datagram in either form and returns the number of heartbeats in it.
 func Unpack(datagram []byte) (int, error) {
 	if isShort(datagram) {
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -107,6 +107,10 @@
 //	F5  A VM that stands by gets these changes from a hub that serves callers, as calls
 //	    to the store cost money. If it finds none within standbyPatience, it reads
 //	    the store itself.
+//	F6  A watch that is cut off after it has waited is not a failure of the store, which
+//	    may cut off any watch. The follower checks the store at once and, if it answers,
+//	    watches on. Registrations of backend servers that are removed meanwhile may have
+//	    lapsed all the same (dgcatalog D3).
 type follower struct {
 	c        *control
 	kind     string
@@ -118,6 +122,8 @@
 	historyGone bool
 	// confirmed reports that the state is no older than the start of the VM (F4).
 	confirmed bool
+	// checkNext reports that the last watch was cut off (F6).
+	checkNext bool
 	// triedHub reports that confirmFromHub was called.
 	triedHub bool
 	// sourceAddrs holds the addresses of VMs that have newer changes.
@@ -145,6 +151,9 @@
 			f.waitAfterFailure()
 			continue
 		}
+		if b.cutOff {
+			continue
+		}
 		if f.kind == dandeliongap.KindRoutes && !b.fromVM {
 			f.c.signalStoreAnswered()
 		}
@@ -216,10 +225,14 @@
 	case <-f.c.ctx.Done():
 		return false
 	}
+	f.checkNext = b.cutOff
 	if b.err != nil {
 		f.failures++
 		return false
 	}
+	if b.cutOff {
+		return true
+	}
 	if !b.fromVM {
 		f.failures = 0
 	}
@@ -297,12 +310,19 @@
 		wait = checkWait
 	default:
 	}
-	if !f.confirmed {
+	if !f.confirmed || f.checkNext {
 		wait = checkWait
 	}
 	return f.watch(wait)
 }
 
+// cutWhileWaiting reports whether a watch that returned err after the given time was cut
+// off while it waited (F6). One that is cut off sooner is a failure, so that a store that
+// ends all connections at once is not called more often than in an outage.
+func cutWhileWaiting(err error, took time.Duration) bool {
+	return errors.Is(err, dandeliongap.ErrCutOff) && took >= probeInterval
+}
+
 // list reads all objects of the kind (F1, F4).
 func (f *follower) list() batch {
 	ctx, cancel := context.WithTimeout(f.c.ctx, storeCallTimeout)
@@ -332,9 +352,13 @@
 		}
 	}()
 	b := batch{kind: f.kind}
+	begin := f.c.e.now()
 	b.objects, b.version, b.err = f.c.e.opt.Store.Watch(ctx, f.kind, f.since, wait)
-	if b.err != nil && len(f.hint) > 0 {
+	switch {
+	case b.err != nil && len(f.hint) > 0:
 		b.err, b.interrupted = nil, true // canceled by the hint; the store did not fail
+	case cutWhileWaiting(b.err, f.c.e.now().Sub(begin)):
+		b.err, b.cutOff = nil, true
 	}
 	return b
 }
--- a/dgedge/follow_test.go
+++ b/dgedge/follow_test.go
@@ -1,6 +1,7 @@
 package dgedge_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,4 +39,14 @@
 	It("waits at most a second after a change of the replicas", func() {
 		Expect(dgedge.NextWatchDelay(dandeliongap.KindInstances, 1, 0, false)).To(BeNumerically("<=", time.Second))
 	})
+	// Guards against requests that reach a removed replica for too long because a cut-off
+	// watch is taken for an outage of the store (review/5), and against a busy loop of
+	// watches to a store that ends all connections at once.
+	It("takes a watch for cut off only if it has waited and its connection ended", func() {
+		cut := fmt.Errorf("store GET: %w", dandeliongap.ErrCutOff)
+		Expect(dgedge.CutWhileWaiting(cut, 2*time.Second)).To(BeTrue())
+		Expect(dgedge.CutWhileWaiting(cut, 10*time.Millisecond)).To(BeFalse())
+		Expect(dgedge.CutWhileWaiting(fmt.Errorf("store GET: %w", dandeliongap.ErrUnreachable), 2*time.Second)).To(BeFalse())
+		Expect(dgedge.CutWhileWaiting(nil, 2*time.Second)).To(BeFalse())
+	})
 })
--- a/errors.go
+++ b/errors.go
@@ -24,6 +24,8 @@
 	// ErrHistoryGone reports a watch that starts at a version whose later changes
 	// the store has discarded; the collection must be listed again.
 	ErrHistoryGone = errors.New("history gone")
+	// ErrCutOff reports a watch whose connection ended without a complete response.
+	ErrCutOff = errors.New("connection ended before the response")
 	// ErrNoReplica reports a service none of whose replicas can take a request now.
 	ErrNoReplica = errors.New("no usable replica")
 	// ErrClosed reports a call on a closed client, server or store.
--- a/ports.go
+++ b/ports.go
@@ -29,7 +29,8 @@
 	List(ctx context.Context, kind string) ([]Object, Version, error)
 	// Watch waits up to wait for changes of a kind after version since, and
 	// returns them with the new version of the collection. It returns no objects
-	// if nothing changed in that time.
+	// if nothing changed in that time, and ErrCutOff if the store ended the
+	// connection instead of responding, which stores may do at any time.
 	Watch(ctx context.Context, kind string, since Version, wait time.Duration) ([]Object, Version, error)
 }
 
