Tell a cut-off watch from an outage by a check, however short it was

Change: any watch that is cut off is followed by a check of the store; only a check that is cut off too is a failure (dgedge F6). Watches that are cut off start at least 250 ms apart, so that such a store gets no more calls than a failing one.

--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -22,8 +22,8 @@
 // NextWatchDelay exports nextWatchDelay for tests.
 var NextWatchDelay = nextWatchDelay
 
-// CutWhileWaiting exports cutWhileWaiting for tests.
-var CutWhileWaiting = cutWhileWaiting
+// CutOff exports cutOff for tests.
+var CutOff = cutOff
 
 // Unpack decodes a datagram in either form and returns the number of heartbeats in it.
 func Unpack(datagram []byte) (int, error) {
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -107,10 +107,11 @@
 //	F5  A VM that stands by gets these changes from a hub that serves callers, as calls
 //	    to the store cost money. If it finds none within standbyPatience, it reads
 //	    the store itself.
-//	F6  A watch that is cut off after it has waited is not a failure of the store, which
-//	    may cut off any watch. The follower checks the store at once and, if it answers,
-//	    watches on. Registrations of backend servers that are removed meanwhile may have
-//	    lapsed all the same (dgcatalog D3).
+//	F6  A watch that is cut off is not a failure of the store, which may cut off any
+//	    watch. The follower checks the store at once. If that is cut off too, the store
+//	    fails; if the store answers, the follower watches on, in intervals of at least
+//	    probeInterval. Registrations of backend servers that are removed meanwhile may
+//	    have lapsed all the same (dgcatalog D3).
 type follower struct {
 	c        *control
 	kind     string
@@ -122,8 +123,11 @@
 	historyGone bool
 	// confirmed reports that the state is no older than the start of the VM (F4).
 	confirmed bool
-	// checkNext reports that the last watch was cut off (F6).
+	// checkNext reports that the last watch was cut off, so that the next one only checks
+	// the store (F6).
 	checkNext bool
+	// nextWatch is the earliest time of the next watch that waits (F6).
+	nextWatch dandeliongap.Instant
 	// triedHub reports that confirmFromHub was called.
 	triedHub bool
 	// sourceAddrs holds the addresses of VMs that have newer changes.
@@ -225,7 +229,9 @@
 	case <-f.c.ctx.Done():
 		return false
 	}
-	f.checkNext = b.cutOff
+	if !b.fromVM {
+		f.checkNext = b.cutOff
+	}
 	if b.err != nil {
 		f.failures++
 		return false
@@ -312,15 +318,16 @@
 	}
 	if !f.confirmed || f.checkNext {
 		wait = checkWait
+	} else if now := f.c.e.now(); now < f.nextWatch {
+		f.c.sleep(f.nextWatch.Sub(now))
 	}
 	return f.watch(wait)
 }
 
-// cutWhileWaiting reports whether a watch that returned err after the given time was cut
-// off while it waited (F6). One that is cut off sooner is a failure, so that a store that
-// ends all connections at once is not called more often than in an outage.
-func cutWhileWaiting(err error, took time.Duration) bool {
-	return errors.Is(err, dandeliongap.ErrCutOff) && took >= probeInterval
+// cutOff reports whether err means that a watch was cut off without a failure of the store
+// (F6). check tells whether the watch only checked the store.
+func cutOff(err error, check bool) bool {
+	return errors.Is(err, dandeliongap.ErrCutOff) && !check
 }
 
 // list reads all objects of the kind (F1, F4).
@@ -357,8 +364,9 @@
 	switch {
 	case b.err != nil && len(f.hint) > 0:
 		b.err, b.interrupted = nil, true // canceled by the hint; the store did not fail
-	case cutWhileWaiting(b.err, f.c.e.now().Sub(begin)):
+	case cutOff(b.err, f.checkNext):
 		b.err, b.cutOff = nil, true
+		f.nextWatch = begin.Add(probeInterval)
 	}
 	return b
 }
--- a/dgedge/follow_test.go
+++ b/dgedge/follow_test.go
@@ -40,13 +40,13 @@
 		Expect(dgedge.NextWatchDelay(dandeliongap.KindInstances, 1, 0, false)).To(BeNumerically("<=", time.Second))
 	})
 	// Guards against requests that reach a removed replica for too long because a cut-off
-	// watch is taken for an outage of the store (review/5), and against a busy loop of
-	// watches to a store that ends all connections at once.
-	It("takes a watch for cut off only if it has waited and its connection ended", func() {
+	// watch is taken for an outage of the store (review/5), and against an outage that is
+	// not noticed because the store cuts off all calls.
+	It("takes a watch that was cut off for a failure only if it checked the store", func() {
 		cut := fmt.Errorf("store GET: %w", dandeliongap.ErrCutOff)
-		Expect(dgedge.CutWhileWaiting(cut, 2*time.Second)).To(BeTrue())
-		Expect(dgedge.CutWhileWaiting(cut, 10*time.Millisecond)).To(BeFalse())
-		Expect(dgedge.CutWhileWaiting(fmt.Errorf("store GET: %w", dandeliongap.ErrUnreachable), 2*time.Second)).To(BeFalse())
-		Expect(dgedge.CutWhileWaiting(nil, 2*time.Second)).To(BeFalse())
+		Expect(dgedge.CutOff(cut, false)).To(BeTrue())
+		Expect(dgedge.CutOff(cut, true)).To(BeFalse())
+		Expect(dgedge.CutOff(fmt.Errorf("store GET: %w", dandeliongap.ErrUnreachable), false)).To(BeFalse())
+		Expect(dgedge.CutOff(nil, false)).To(BeFalse())
 	})
 })
