--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -99,11 +99,12 @@
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
-	if err := e.listen(); err != nil {
+	maxCallers := dgadmit.MaxCallerConnections(descriptorLimit())
+	if err := e.listen(maxCallers); err != nil {
 		e.log.close()
 		return nil, trace.Wrap(err)
 	}
-	e.log.event("start").Str("Zone", string(o.Settings.Zone)).Str("Entry", o.Settings.EntryListen).Bool("First", o.Settings.FirstStart).Send()
+	e.log.event("start").Str("Zone", string(o.Settings.Zone)).Str("Entry", o.Settings.EntryListen).Bool("First", o.Settings.FirstStart).Int64("MaxCallers", maxCallers).Send()
 	e.control = newControl(e)
 	e.wg.Go(e.control.run)
 	e.wg.Go(e.watchDisconnects)
@@ -113,14 +114,15 @@
 // now returns the time since the start, on the monotonic clock.
 func (e *Edge) now() dandeliongap.Instant { return dandeliongap.Instant(time.Since(e.start)) }
 
-// listen opens all listeners and starts serving on them.
-func (e *Edge) listen() error {
+// listen opens all listeners and starts serving on them. maxCallers limits the open
+// connections of callers; 0 means no limit.
+func (e *Edge) listen(maxCallers int64) error {
 	l, err := net.Listen("tcp", e.opt.Settings.EntryListen)
 	if err != nil {
 		return err
 	}
 	e.serve(&callerListener{
-		Listener: e.retryAccept(l), limits: e.limits, maxOpen: dgadmit.MaxCallerConnections(descriptorLimit()),
+		Listener: e.retryAccept(l), limits: e.limits, maxOpen: maxCallers,
 		rejected: func() { e.stats.add("Refused.Connection") },
 	}, &fasthttp.Server{
 		Handler:                       e.handle,
