Let a request that is not idempotent run on when a stop ends the wait for it

Change: only requests that may be repeated are cancelled then.

Measured on arm64: the extended spec failed before (1 request interrupted) and passes.

--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -58,6 +58,7 @@
 	extras       int
 	noBudget     int // number of times the budget did not allow an extra request
 	verdict      dggather.Verdict
+	interrupted  bool   // ended by Drain
 	lastFailure  string // reason for the last failed attempt
 }
 
@@ -80,6 +81,8 @@
 			ex.cancelAttempts() // a request that is not idempotent must not be interrupted
 		}
 		ctx.SetConnectionClose()
+	case ex.interrupted && !req.route.Idempotent:
+		// The attempt may run on until the process ends.
 	case ex.gather.Outstanding() > 0:
 		time.AfterFunc(cancelGrace, ex.cancelAttempts)
 	}
@@ -120,7 +123,7 @@
 			for _, r := range ex.inbox.take() {
 				ex.handleResult(r)
 			}
-			ex.verdict = ex.gather.Interrupt()
+			ex.verdict, ex.interrupted = ex.gather.Interrupt(), true
 			return true
 		}
 	}
