Drop callers that stop receiving a response

Cause: since a long response counts towards the memory limit until its caller has received it, a few callers that never read would keep that memory for good, and all other long responses would get 502. Before, such callers kept memory without a limit.

Change: writes to a caller have a deadline of 30 s for each 64 KiB.

--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -125,16 +125,17 @@
 	return Refusal{http.StatusRequestHeaderFieldsTooLarge, "A0", "HeaderTooLarge", fmt.Sprintf("headers above %d bytes", limit), 0}
 }
 
-// maxCallerShare is the share of the descriptors that connections of callers may take
-// (A7).
-const maxCallerShare = 0.75
+const (
+	// maxCallerShare is the share of the descriptors that connections of callers may
+	// take (A7).
+	maxCallerShare = 0.75
+	// maxDescriptors is more than a process can use. Systems state larger limits for
+	// "unlimited".
+	maxDescriptors = 1 << 30
+)
 
 // MaxCallerConnections returns the number of connections of callers that a process may
 // have open (A7), given its limit of descriptors; 0 means no limit.
 func MaxCallerConnections(descriptors uint64) int64 {
 	return int64(min(maxCallerShare*float64(descriptors), maxDescriptors))
 }
-
-// maxDescriptors is more than a process can use; some systems state larger limits for
-// "unlimited".
-const maxDescriptors = 1 << 30
--- a/dgadmit/stop.go
+++ b/dgadmit/stop.go
@@ -28,8 +28,8 @@
 // AnswerBy returns the time at which requests that are still in progress are ended.
 func (s Stop) AnswerBy() time.Duration { return time.Duration(answerShare * float64(s.Limit)) }
 
-// Admit refuses a request under A3 that arrives after the given time since the begin of
-// the stop and whose deadline is left away.
+// Admit refuses a request under A3. The request arrives since after the begin of the stop,
+// and its deadline passes left later.
 func (s Stop) Admit(since, left time.Duration) Refusal {
 	if since <= s.OpenUntil() || since+left <= s.AnswerBy() {
 		return Refusal{}
--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -407,8 +407,9 @@
 
 // readResponse reads responses until the one to req arrives, at most
 // maxMismatchedResponses of them. reuse reports whether the connection may carry another
-// request, framed whether the response has a length of its own. A response without a request ID counts as the response to req if it says
-// that the request did not run, or if its status is 300 or above.
+// request, framed whether the response is not delimited by the end of the connection. A
+// response without a request ID counts as the response to req if it says that the request
+// did not run, or if its status is 300 or above.
 func (f *Forwarder) readResponse(cn *conn, req *ForwardRequest, reply *Reply) (reuse, framed bool) {
 	reuse = true
 	for range maxMismatchedResponses {
--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -17,6 +17,10 @@
 	// minReceiveRate is the lowest rate at which a caller may send a request, in bytes
 	// per second. Each byte received extends the header timeout accordingly.
 	minReceiveRate = 16 << 10
+	// writeTimeout is how long a caller may take to receive writeChunk bytes of a response.
+	// A response that nobody reads would keep its memory for good.
+	writeTimeout = 30 * time.Second
+	writeChunk   = 64 << 10 // bytes
 )
 
 // callerListener applies the timeouts of the current configuration to the
@@ -48,7 +52,10 @@
 			l.rejected()
 			continue
 		}
-		return &callerConn{TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+		return &callerConn{
+			TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout,
+			closed: sync.OnceFunc(func() { l.open.Add(-1) }),
+		}, nil
 	}
 }
 
@@ -60,6 +67,20 @@
 	received     int         // bytes received of the next request
 	requestDone  atomic.Bool // a request has ended since the last Read
 	closed       func()      // releases the place in callerListener; called again, it does nothing
+	writeTimeout time.Duration
+}
+
+// Write implements net.Conn. It fails if the caller stops receiving for writeTimeout.
+func (c *callerConn) Write(b []byte) (written int, err error) {
+	for written < len(b) && err == nil {
+		if err = c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			break
+		}
+		var n int
+		n, err = c.TCPConn.Write(b[written:min(len(b), written+writeChunk)])
+		written += n
+	}
+	return written, err
 }
 
 // Close implements net.Conn.
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net"
+	"time"
 
 	"dandeliongap.example/dandeliongap/dgpresence"
 )
@@ -25,6 +27,12 @@
 // CutOff exports cutOff for tests.
 var CutOff = cutOff
 
+// WriteToCaller writes b on a connection of a caller that may stop receiving for timeout.
+func WriteToCaller(tcp *net.TCPConn, timeout time.Duration, b []byte) (int, error) {
+	c := &callerConn{TCPConn: tcp, writeTimeout: timeout}
+	return c.Write(b)
+}
+
 // Unpack decodes a datagram in either form and returns the number of heartbeats in it.
 func Unpack(datagram []byte) (int, error) {
 	if isShort(datagram) {
