Tell in the log how requests end around a stop, and count a response until it is written

The log could not tell the hypotheses apart: done is logged before the response is written, Drain took a request for answered once its handler had ended, nothing names a request that is cut by the end of the process, and nothing is logged after stopped.

A request now stays active until its response has been written: the HTTP server reads from the connection, or closes it, only then. New lines: response lost (a write to the caller failed, with the bytes that the kernel took), unanswered (no whole response at the end of Drain), exit (Close has ended; a process without it was killed) and stalled (the process did not run). stopped tells the open connections of callers.

--- a/dgedge/active.go
+++ b/dgedge/active.go
@@ -1,7 +1,9 @@
 package dgedge
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,20 +19,22 @@
 
 // activeRequest is a request whose caller waits for the response.
 type activeRequest struct {
+	id           string
 	raw          syscall.RawConn // nil if the connection cannot be checked
 	startedAt    time.Time
 	disconnected chan struct{} // closed when the caller has disconnected
 	closed       bool          // disconnected is closed
 }
 
-// activeSet holds the requests in progress. The zero value is an empty set.
+// activeSet holds the requests whose callers do not have the whole response yet. The zero
+// value is an empty set.
 type activeSet struct {
 	mu  sync.Mutex
 	set map[*activeRequest]struct{}
 }
 
-func (a *activeSet) add(c net.Conn) *activeRequest {
-	r := &activeRequest{startedAt: time.Now(), disconnected: make(chan struct{})}
+func (a *activeSet) add(c net.Conn, id string) *activeRequest {
+	r := &activeRequest{id: id, startedAt: time.Now(), disconnected: make(chan struct{})}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			r.raw = raw
@@ -57,6 +61,14 @@
 	return len(a.set)
 }
 
+// oldest returns the n requests that have been in the set for longest, oldest first.
+func (a *activeSet) oldest(n int) []*activeRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := slices.SortedFunc(maps.Keys(a.set), func(x, y *activeRequest) int { return x.startedAt.Compare(y.startedAt) })
+	return all[:min(n, len(all))]
+}
+
 // checkConnections finds the requests whose caller has closed the connection, and
 // closes their disconnected channels.
 func (a *activeSet) checkConnections() {
@@ -79,12 +91,23 @@
 func (e *Edge) watchDisconnects() {
 	t := time.NewTicker(disconnectCheckInterval)
 	defer t.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-e.stop:
 			return
 		case <-t.C:
+			if gap := time.Since(last); gap > stallThreshold {
+				e.stats.add("Stalls")
+				e.log.event("stalled").Dur("For", gap-disconnectCheckInterval).Send()
+			}
+			last = time.Now()
 			e.active.checkConnections()
 		}
 	}
 }
+
+// stallThreshold is the time between two checks of connections from which the process
+// counts as stalled: it got too little processor time, or was paused. The checks are due
+// each disconnectCheckInterval.
+const stallThreshold = 400 * time.Millisecond
--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -31,10 +31,20 @@
 	limits   func() dandeliongap.CallerLimits
 	maxOpen  int64  // connections open at the same time; 0: no limit
 	rejected func() // called for each connection that is closed because of maxOpen
+	events   connEvents
 
 	open atomic.Int64
 }
 
+// connEvents are called by connections of callers. Fields that are nil are not called.
+type connEvents struct {
+	// responded is called when a response has been written, or cannot be.
+	responded func(*activeRequest)
+	// writeFailed is called when a response cannot be written. sent is the number of bytes
+	// that the kernel accepted, the head included.
+	writeFailed func(r *activeRequest, sent int, err error)
+}
+
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
@@ -53,7 +63,7 @@
 			continue
 		}
 		return &callerConn{
-			TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout,
+			TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout, events: l.events,
 			closed: sync.OnceFunc(func() { l.open.Add(-1) }),
 		}, nil
 	}
@@ -63,10 +73,13 @@
 type callerConn struct {
 	*net.TCPConn
 	limits       func() dandeliongap.CallerLimits
-	timeoutStart time.Time   // end of the last request, or arrival of the next one's first byte
-	received     int         // bytes received of the next request
-	requestDone  atomic.Bool // a request has ended since the last Read
-	closed       func()      // releases the place in callerListener; called again, it does nothing
+	timeoutStart time.Time                     // end of the last request, or arrival of the next one's first byte
+	received     int                           // bytes received of the next request
+	requestDone  atomic.Bool                   // a request has ended since the last Read
+	responding   atomic.Pointer[activeRequest] // the request whose response is being written
+	sent         int                           // bytes of that response that the kernel accepted
+	events       connEvents
+	closed       func() // releases the place in callerListener; called again, it does nothing
 	writeTimeout time.Duration
 }
 
@@ -80,23 +93,42 @@
 		n, err = c.TCPConn.Write(b[written:min(len(b), written+writeChunk)])
 		written += n
 	}
+	c.sent += written
+	if r := c.responding.Load(); err != nil && r != nil && c.events.writeFailed != nil {
+		c.events.writeFailed(r, c.sent, err)
+	}
 	return written, err
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	err := c.TCPConn.Close()
+	c.endResponse()
 	c.closed()
 	return err
 }
 
-// endRequest records that the current request has ended. The next Read restarts the
-// idle timeout.
-func (c *callerConn) endRequest() { c.requestDone.Store(true) }
+// respond records that the handler of a request has ended, and that its response is written
+// next. The next Read restarts the idle timeout.
+func (c *callerConn) respond(r *activeRequest) {
+	c.endResponse()
+	c.sent = 0
+	c.responding.Store(r)
+	c.requestDone.Store(true)
+}
+
+// endResponse records that no more of the current response is written. The HTTP server
+// reads from a connection, or closes it, only after that.
+func (c *callerConn) endResponse() {
+	if r := c.responding.Swap(nil); r != nil && c.events.responded != nil {
+		c.events.responded(r)
+	}
+}
 
 // Read implements net.Conn. It re-evaluates the deadline when it expires, so that a
 // new configuration also applies to a Read that is already waiting.
 func (c *callerConn) Read(b []byte) (int, error) {
+	c.endResponse()
 	if c.requestDone.Swap(false) {
 		c.timeoutStart, c.received = time.Now(), 0
 	}
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -67,8 +67,8 @@
 	endRequests    chan struct{}               // closed when Drain ends the requests in progress
 
 	active   activeSet
-	attempts atomic.Int64 // attempts started
-	servers  []*fasthttp.Server
+	attempts atomic.Int64       // attempts started
+	servers  []*fasthttp.Server // the first one serves callers
 	stop     chan struct{}
 	wg       conc.WaitGroup
 }
@@ -124,6 +124,7 @@
 	e.serve(&callerListener{
 		Listener: e.retryAccept(l), limits: e.limits, maxOpen: maxCallers,
 		rejected: func() { e.stats.add("Refused.Connection") },
+		events:   connEvents{responded: e.active.remove, writeFailed: e.responseLost},
 	}, &fasthttp.Server{
 		Handler:                       e.handle,
 		ReadBufferSize:                maxEntryHeaderBytes,
@@ -267,9 +268,17 @@
 	for e.active.len() > 0 && time.Now().Before(stop.at(stop.Limit)) {
 		time.Sleep(endPollInterval)
 	}
-	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).Dur("Took", time.Since(stop.begin)).Send()
+	for _, r := range e.active.oldest(maxUnansweredLines) {
+		e.log.request("unanswered", r.id).Str("Rule", "A6").Dur("Age", time.Since(r.startedAt)).Send()
+	}
+	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).
+		Int32("Connections", e.servers[0].GetOpenConnectionsCount()).Dur("Took", time.Since(stop.begin)).Send()
 }
 
+// maxUnansweredLines limits the log lines about requests without a response at the end of
+// a stop.
+const maxUnansweredLines = 100
+
 const (
 	// drainMinShare is the share of the shutdown limit for which Drain at least lasts,
 	// because callers may still use the address.
@@ -285,6 +294,7 @@
 
 // Close stops all activity immediately and waits for all goroutines to end.
 func (e *Edge) Close() error {
+	begin := time.Now()
 	close(e.stop)
 	for _, s := range e.servers {
 		_ = s.Shutdown() // fails only if the listener is closed already
@@ -292,6 +302,7 @@
 	err := e.forward.Close()
 	e.control.close()
 	e.wg.Wait()
+	e.log.event("exit").Dur("Took", time.Since(begin)).Send()
 	e.log.close()
 	return trace.Wrap(err)
 }
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -36,16 +36,17 @@
 // handle forwards or refuses a request of a caller.
 func (e *Edge) handle(ctx *fasthttp.RequestCtx) {
 	e.stats.add("Requests")
-	active := e.active.add(ctx.Conn())
+	active := e.active.add(ctx.Conn(), string(ctx.Request.Header.Peek(e.opt.Dialect.Backend.RequestID)))
 	defer func() {
 		if r := recover(); r != nil {
 			e.log.event("panic").Str("Value", fmt.Sprint(r)).Bytes("Stack", debug.Stack()).Send()
 			ctx.Response.Reset()
 			ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		}
-		e.active.remove(active)
 		if cc, ok := ctx.Conn().(*callerConn); ok {
-			cc.endRequest()
+			cc.respond(active)
+		} else {
+			e.active.remove(active)
 		}
 		if e.draining() {
 			ctx.SetConnectionClose()
@@ -205,6 +206,12 @@
 		Str("Route", string(name)).Uint64("Config", uint64(req.version)).Dur("RetryAfter", r.RetryAfter).Send()
 }
 
+// responseLost logs that a response could not be written to its caller.
+func (e *Edge) responseLost(r *activeRequest, sent int, err error) {
+	e.stats.add("ResponsesLost")
+	e.log.request("response lost", r.id).Int("Bytes", sent).Dur("Age", time.Since(r.startedAt)).Err(err).Send()
+}
+
 // formatSeconds formats a duration for the Retry-After header.
 func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
