End a planned stop although callers hold connections without a request

Seen: a VM did not end by itself within its shutdown limit and was killed, although all requests had their responses.

Cause: the HTTP server takes a connection on which nothing has arrived for in use until it is 5 s old, and one on which part of a request has arrived until its header timeout. Its Shutdown waits for both, and nothing but the kill at the limit ended the wait.

Change: Close closes connections on which no byte has arrived, and those that are accepted from then on, at once; at the end of the schedule of the stop (A6) those without a request in progress. A byte that arrives just then and the close exclude each other, so that no request is run on a connection that has been closed.

--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -33,7 +33,9 @@
 	rejected func() // called for each connection that is closed because of maxOpen
 	events   connEvents
 
-	open atomic.Int64
+	mu      sync.Mutex
+	open    map[*callerConn]struct{}
+	closing bool // connections without a request are closed
 }
 
 // connEvents are called by connections of callers. Fields that are nil are not called.
@@ -56,28 +58,87 @@
 		if !ok {
 			return c, nil
 		}
-		if n := l.open.Add(1); l.maxOpen > 0 && n > l.maxOpen {
-			l.open.Add(-1)
-			_ = tcp.Close()
-			l.rejected()
-			continue
+		if conn := l.add(tcp); conn != nil {
+			return conn, nil
 		}
-		return &callerConn{
-			TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout, events: l.events,
-			closed: sync.OnceFunc(func() { l.open.Add(-1) }),
-		}, nil
+		_ = tcp.Close()
 	}
 }
 
+// add returns the connection as the HTTP server uses it, or nil if it is not accepted.
+func (l *callerListener) add(tcp *net.TCPConn) *callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing {
+		return nil
+	}
+	if l.maxOpen > 0 && int64(len(l.open)) >= l.maxOpen {
+		l.rejected()
+		return nil
+	}
+	c := &callerConn{TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout, events: l.events}
+	c.closed = func() { l.remove(c) }
+	if l.open == nil {
+		l.open = make(map[*callerConn]struct{})
+	}
+	l.open[c] = struct{}{}
+	return c
+}
+
+// len returns the number of open connections.
+func (l *callerListener) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+func (l *callerListener) remove(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// closeUnused closes the connections on which no byte has arrived, also those that are
+// accepted later. A shutdown of the HTTP server waits for them for seconds.
+func (l *callerListener) closeUnused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	for c := range l.open {
+		if c.use.CompareAndSwap(connUnused, connAbandoned) {
+			_ = c.TCPConn.Close()
+		}
+	}
+}
+
+// closeInactive closes the connections that have no request in progress.
+func (l *callerListener) closeInactive() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.current.Load() == nil {
+			_ = c.TCPConn.Close()
+		}
+	}
+}
+
+// States of a connection of a caller.
+const (
+	connUnused    int32 = iota // no byte has arrived
+	connUsed                   // a byte has arrived
+	connAbandoned              // closed by closeUnused
+)
+
 // callerConn is a connection of a caller. Only one goroutine may read from it.
 type callerConn struct {
 	*net.TCPConn
 	limits       func() dandeliongap.CallerLimits
-	timeoutStart time.Time                     // end of the last request, or arrival of the next one's first byte
-	received     int                           // bytes received of the next request
-	requestDone  atomic.Bool                   // a request has ended since the last Read
-	responding   atomic.Pointer[activeRequest] // the request whose response is being written
-	sent         int                           // bytes of that response that the kernel accepted
+	timeoutStart time.Time   // end of the last request, or arrival of the next one's first byte
+	received     int         // bytes received of the next request
+	requestDone  atomic.Bool // a request has ended since the last Read
+	use          atomic.Int32
+	current      atomic.Pointer[activeRequest] // from the call of its handler until its response is written
+	sent         int                           // bytes of the current response that the kernel accepted
 	events       connEvents
 	closed       func() // releases the place in callerListener; called again, it does nothing
 	writeTimeout time.Duration
@@ -94,7 +155,7 @@
 		written += n
 	}
 	c.sent += written
-	if r := c.responding.Load(); err != nil && r != nil && c.events.writeFailed != nil {
+	if r := c.current.Load(); err != nil && r != nil && c.events.writeFailed != nil {
 		c.events.writeFailed(r, c.sent, err)
 	}
 	return written, err
@@ -108,19 +169,21 @@
 	return err
 }
 
-// respond records that the handler of a request has ended, and that its response is written
-// next. The next Read restarts the idle timeout.
-func (c *callerConn) respond(r *activeRequest) {
+// beginRequest records that the handler of a request has been called.
+func (c *callerConn) beginRequest(r *activeRequest) {
 	c.endResponse()
 	c.sent = 0
-	c.responding.Store(r)
-	c.requestDone.Store(true)
+	c.current.Store(r)
 }
 
+// endRequest records that the handler has ended, and that the response is written next.
+// The next Read restarts the idle timeout.
+func (c *callerConn) endRequest() { c.requestDone.Store(true) }
+
 // endResponse records that no more of the current response is written. The HTTP server
 // reads from a connection, or closes it, only after that.
 func (c *callerConn) endResponse() {
-	if r := c.responding.Swap(nil); r != nil && c.events.responded != nil {
+	if r := c.current.Swap(nil); r != nil && c.events.responded != nil {
 		c.events.responded(r)
 	}
 }
@@ -139,6 +202,9 @@
 		}
 		n, err := c.TCPConn.Read(b)
 		if n > 0 {
+			if c.use.CompareAndSwap(connUnused, connUsed); c.use.Load() == connAbandoned {
+				return 0, net.ErrClosed
+			}
 			if c.received == 0 {
 				c.timeoutStart = time.Now()
 			}
--- a/dgedge/conns_test.go
+++ b/dgedge/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -43,3 +44,56 @@
 		Expect(io.ReadAll(caller)).To(Equal(body))
 	})
 })
+
+var _ = Describe("a listener for callers that is closed", func() {
+	var l *dgedge.CallerListener
+	BeforeEach(func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		l = dgedge.NewCallerListener(inner)
+		DeferCleanup(l.Close)
+	})
+	connect := func() (server, caller net.Conn) {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		server, err = l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _, _ = server.Close(), caller.Close() })
+		return server, caller
+	}
+	closed := func(c net.Conn) bool {
+		Expect(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		_, err := c.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		return !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	send := func(server, caller net.Conn, text string) {
+		_, err := io.WriteString(caller, text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Read(make([]byte, len(text)))).To(Equal(len(text)))
+	}
+	It("closes connections on which nothing has arrived (guards against a stop that waits for them until the process is killed; issue 29)", func() {
+		_, unused := connect()
+		l.CloseUnused()
+		Expect(closed(unused)).To(BeTrue())
+	})
+	It("does not close a connection on which a request has begun to arrive", func() {
+		server, caller := connect()
+		send(server, caller, "GET / HT")
+		l.CloseUnused()
+		Expect(closed(caller)).To(BeFalse())
+	})
+	It("closes connections without a request in progress when their time is over (guards against a stop that waits for the rest of a request; issue 29)", func() {
+		server, caller := connect()
+		send(server, caller, "GET / HT")
+		busyServer, busy := connect()
+		send(busyServer, busy, "GET / HTTP/1.1\r\n\r\n")
+		dgedge.BeginRequest(busyServer)
+		l.CloseInactive()
+		Expect(closed(caller)).To(BeTrue())
+		Expect(closed(busy)).To(BeFalse(), "connection with a request in progress")
+		dgedge.EndResponse(busyServer)
+		l.CloseInactive()
+		Expect(closed(busy)).To(BeTrue())
+	})
+})
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -67,8 +67,9 @@
 	endRequests    chan struct{}               // closed when Drain ends the requests in progress
 
 	active   activeSet
-	attempts atomic.Int64       // attempts started
-	servers  []*fasthttp.Server // the first one serves callers
+	attempts atomic.Int64 // attempts started
+	callers  *callerListener
+	servers  []*fasthttp.Server
 	stop     chan struct{}
 	wg       conc.WaitGroup
 }
@@ -121,11 +122,12 @@
 	if err != nil {
 		return err
 	}
-	e.serve(&callerListener{
+	e.callers = &callerListener{
 		Listener: e.retryAccept(l), limits: e.limits, maxOpen: maxCallers,
 		rejected: func() { e.stats.add("Refused.Connection") },
 		events:   connEvents{responded: e.active.remove, writeFailed: e.responseLost},
-	}, &fasthttp.Server{
+	}
+	e.serve(e.callers, &fasthttp.Server{
 		Handler:                       e.handle,
 		ReadBufferSize:                maxEntryHeaderBytes,
 		MaxRequestBodySize:            maxEntryBodyBytes,
@@ -272,7 +274,7 @@
 		e.log.request("unanswered", r.id).Str("Rule", "A6").Dur("Age", time.Since(r.startedAt)).Send()
 	}
 	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).
-		Int32("Connections", e.servers[0].GetOpenConnectionsCount()).Dur("Took", time.Since(stop.begin)).Send()
+		Int("Connections", e.callers.len()).Dur("Took", time.Since(stop.begin)).Send()
 }
 
 // maxUnansweredLines limits the log lines about requests without a response at the end of
@@ -296,9 +298,12 @@
 func (e *Edge) Close() error {
 	begin := time.Now()
 	close(e.stop)
+	e.callers.closeUnused()
+	abandon := time.AfterFunc(e.receiveTime(), e.callers.closeInactive)
 	for _, s := range e.servers {
 		_ = s.Shutdown() // fails only if the listener is closed already
 	}
+	abandon.Stop()
 	err := e.forward.Close()
 	e.control.close()
 	e.wg.Wait()
@@ -307,6 +312,15 @@
 	return trace.Wrap(err)
 }
 
+// receiveTime returns how long Close waits for requests that callers have begun to send. The
+// VM refuses them under A3, as their deadlines lie after the end of a stop.
+func (e *Edge) receiveTime() time.Duration {
+	if stop := e.stopping.Load(); stop != nil {
+		return time.Until(stop.at(stop.AnswerBy()))
+	}
+	return 0
+}
+
 // discardLogger drops the messages of the HTTP server about errors on single
 // connections. The caller gets a status code, and the metrics count such errors.
 type discardLogger struct{}
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgpresence"
 )
 
@@ -33,6 +34,24 @@
 	return c.Write(b)
 }
 
+// CallerListener is a listener for callers.
+type CallerListener struct{ callerListener }
+
+// NewCallerListener returns a listener for callers that sets no limits.
+func NewCallerListener(l net.Listener) *CallerListener {
+	return &CallerListener{callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{} }}}
+}
+
+// CloseUnused, CloseInactive and Len export methods for tests.
+func (l *CallerListener) CloseUnused()   { l.closeUnused() }
+func (l *CallerListener) CloseInactive() { l.closeInactive() }
+func (l *CallerListener) Len() int       { return l.len() }
+
+// BeginRequest and EndResponse record that a handler is called for a request of the
+// connection, and that its response has been written.
+func BeginRequest(c net.Conn) { c.(*callerConn).beginRequest(&activeRequest{}) }
+func EndResponse(c net.Conn)  { c.(*callerConn).endResponse() }
+
 // Unpack decodes a datagram in either form and returns the number of heartbeats in it.
 func Unpack(datagram []byte) (int, error) {
 	if isShort(datagram) {
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -37,14 +37,18 @@
 func (e *Edge) handle(ctx *fasthttp.RequestCtx) {
 	e.stats.add("Requests")
 	active := e.active.add(ctx.Conn(), string(ctx.Request.Header.Peek(e.opt.Dialect.Backend.RequestID)))
+	conn, ok := ctx.Conn().(*callerConn)
+	if ok {
+		conn.beginRequest(active)
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			e.log.event("panic").Str("Value", fmt.Sprint(r)).Bytes("Stack", debug.Stack()).Send()
 			ctx.Response.Reset()
 			ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		}
-		if cc, ok := ctx.Conn().(*callerConn); ok {
-			cc.respond(active)
+		if ok {
+			conn.endRequest()
 		} else {
 			e.active.remove(active)
 		}
