Read on after a last response, so that a reset does not destroy it

Seen: a caller that had sent more than its request, such as its next one, when a VM closed the connection after a response got part of the response and a reset (rule LOST around a SIGTERM).

Cause: the kernel resets a connection that is closed with unread bytes, or that gets bytes after its close, and drops what it has not delivered. A VM that stops closes after each response; after a malformed request it always does.

Change: a connection that is closed after a response is shut down for writing and read for up to 1 s or until the caller has closed it. Close of the daemon waits for these connections.

--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,6 +22,10 @@
 	// A response that nobody reads would keep its memory for good.
 	writeTimeout = 30 * time.Second
 	writeChunk   = 64 << 10 // bytes
+	// lingerTime is how long a connection is read after its last response, at most.
+	lingerTime = time.Second
+	// maxLingerBytes limits what is read in that time.
+	maxLingerBytes = maxEntryBodyBytes
 )
 
 // callerListener applies the timeouts of the current configuration to the
@@ -35,7 +40,8 @@
 
 	mu      sync.Mutex
 	open    map[*callerConn]struct{}
-	closing bool // connections without a request are closed
+	closing bool          // connections without a request are closed
+	allDone chan struct{} // closed when the last connection is removed; nil: nobody waits
 }
 
 // connEvents are called by connections of callers. Fields that are nil are not called.
@@ -96,6 +102,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
+	if len(l.open) == 0 && l.allDone != nil {
+		close(l.allDone)
+		l.allDone = nil
+	}
+}
+
+// wait waits until no connection is open. It must be called once, after the HTTP server has
+// ended.
+func (l *callerListener) wait() {
+	l.mu.Lock()
+	if len(l.open) == 0 {
+		l.mu.Unlock()
+		return
+	}
+	done := make(chan struct{})
+	l.allDone = done
+	l.mu.Unlock()
+	<-done
 }
 
 // closeUnused closes the connections on which no byte has arrived, also those that are
@@ -139,6 +163,7 @@
 	use          atomic.Int32
 	current      atomic.Pointer[activeRequest] // from the call of its handler until its response is written
 	sent         int                           // bytes of the current response that the kernel accepted
+	unreceived   atomic.Bool                   // the caller may not have received all that was written
 	events       connEvents
 	closed       func() // releases the place in callerListener; called again, it does nothing
 	writeTimeout time.Duration
@@ -155,20 +180,36 @@
 		written += n
 	}
 	c.sent += written
+	c.unreceived.Store(err == nil)
 	if r := c.current.Load(); err != nil && r != nil && c.events.writeFailed != nil {
 		c.events.writeFailed(r, c.sent, err)
 	}
 	return written, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After a response, it goes on reading in the background: the
+// kernel resets a connection that is closed with unread bytes, or that gets more bytes
+// later, and drops what it has not delivered yet.
 func (c *callerConn) Close() error {
-	err := c.TCPConn.Close()
 	c.endResponse()
+	if c.unreceived.Swap(false) && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	err := c.TCPConn.Close()
 	c.closed()
 	return err
 }
 
+// linger reads until the caller has closed the connection, or its time is over.
+func (c *callerConn) linger() {
+	if c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+	}
+	_ = c.TCPConn.Close()
+	c.closed()
+}
+
 // beginRequest records that the handler of a request has been called.
 func (c *callerConn) beginRequest(r *activeRequest) {
 	c.endResponse()
@@ -192,6 +233,7 @@
 // new configuration also applies to a Read that is already waiting.
 func (c *callerConn) Read(b []byte) (int, error) {
 	c.endResponse()
+	c.unreceived.Store(false)
 	if c.requestDone.Swap(false) {
 		c.timeoutStart, c.received = time.Now(), 0
 	}
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -304,6 +304,7 @@
 		_ = s.Shutdown() // fails only if the listener is closed already
 	}
 	abandon.Stop()
+	e.callers.wait()
 	err := e.forward.Close()
 	e.control.close()
 	e.wg.Wait()
