Soak: callers that use a VM until its process is gone, long requests, and stops that overlap

Eight callers more stay with a VM until its process is gone; four in ten of their requests take up to 3 s and have responses of 36 KB. Planned stops begin a second apart, and a process that stops gets SIGHUP and SIGTERM again.

--- a/dgsoak/callers.go
+++ b/dgsoak/callers.go
@@ -17,11 +17,15 @@
 	// searchShare and fetchShare are the shares of the requests of these routes; the rest
 	// are orders.
 	searchShare, fetchShare = 0.6, 0.25
+	// loyalArchiveShare is the share of the requests of loyal callers that go to the
+	// archive.
+	loyalArchiveShare = 0.4
 )
 
 // deadlines are the times that callers wait for responses.
 var deadlines = map[dandeliongap.RouteName]time.Duration{
 	routeSearch: 1200 * time.Millisecond, routeFetch: 1500 * time.Millisecond, routeOrder: 2 * time.Second,
+	routeArchive: 5 * time.Second,
 }
 
 // callerState is one caller: it sends a request at a time.
@@ -30,6 +34,7 @@
 	number    int
 	rng       *rand.Rand
 	caller    Caller
+	loyal     bool // uses a VM until its process is gone, whatever the directory says
 	sent      int
 	known     []*vm // VMs that the directory named and that have not failed since
 	refreshAt dandeliongap.Instant
@@ -47,12 +52,15 @@
 }
 
 func (c *callerState) send() {
-	if c.s.now() >= c.refreshAt || len(c.known) == 0 {
+	if !c.loyal && c.s.now() >= c.refreshAt || len(c.known) == 0 {
 		c.refresh()
 	}
 	if len(c.known) == 0 {
 		return
 	}
+	if c.loyal {
+		c.known = c.known[:1]
+	}
 	v := c.known[c.rng.IntN(len(c.known))]
 	x := c.next()
 	x.VM, x.Process, x.SentAt = v.name, v.current(), c.s.now()
@@ -69,7 +77,10 @@
 	c.sent++
 	id := RequestID(fmt.Sprintf("r%d-%d", c.number, c.sent))
 	name, method, body := routeOrder, "POST", fmt.Sprintf("order of %s", id)
-	switch p := c.rng.Float64(); {
+	p := c.rng.Float64()
+	switch {
+	case c.loyal && c.rng.Float64() < loyalArchiveShare:
+		name, method, body = routeArchive, "GET", ""
 	case p < searchShare:
 		name, method, body = routeSearch, "GET", ""
 	case p < searchShare+fetchShare:
@@ -97,6 +108,7 @@
 				c.known = append(c.known, v)
 			}
 		}
+		c.rng.Shuffle(len(c.known), func(i, j int) { c.known[i], c.known[j] = c.known[j], c.known[i] })
 		c.refreshAt = c.s.now().Add(directoryRefresh)
 		return
 	}
--- a/dgsoak/content.go
+++ b/dgsoak/content.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"strings"
+	"time"
 
 	"dandeliongap.example/dandeliongap"
 	"github.com/cespare/xxhash/v2"
@@ -25,9 +26,29 @@
 		b = binary.BigEndian.AppendUint64(b, xxhash.Sum64(binary.BigEndian.AppendUint64(nil, h+2*i)))
 		b = binary.BigEndian.AppendUint64(b, xxhash.Sum64(binary.BigEndian.AppendUint64(nil, h+2*i+1)))
 	}
+	if service == archiveService {
+		b = append(b, make([]byte, archiveBytes)...)
+	}
 	return append(b, make([]byte, h>>32%recordBytes)...)
 }
 
+const (
+	// archiveBytes is added to the responses of the archive, which do not fit into one
+	// packet.
+	archiveBytes = 36 << 10
+	// shortWork is the time that a request takes, but at the archive. There it takes up to
+	// longWork.
+	shortWork, longWork = 5 * time.Millisecond, 3 * time.Second
+)
+
+// workTime returns the time that a request takes at a backend server.
+func workTime(service dandeliongap.ServiceName, id RequestID) time.Duration {
+	if service != archiveService {
+		return shortWork
+	}
+	return time.Duration(xxhash.Sum64String("work/"+string(id)) % uint64(longWork))
+}
+
 const stampSeparator = "~"
 
 // stamp returns the stamp of a response.
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -85,6 +85,8 @@
 	Instance dandeliongap.Instance // without Address
 	// Content returns the body of the response to a request.
 	Content func(dandeliongap.ServiceName, RequestID) []byte
+	// Work returns the time that a request takes; nil: none.
+	Work func(dandeliongap.ServiceName, RequestID) time.Duration
 	// Stamp returns the stamp of the response to a request.
 	Stamp func(dandeliongap.InstanceID, dandeliongap.ServiceName, RequestID) string
 	// Record is called with a request that was read, and again when more is known of it.
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -17,7 +17,9 @@
 
 const (
 	// callerCount is the number of callers, each of which has one request at a time.
-	callerCount = 12
+	callerCount = 20
+	// loyalCallers is the number of callers that go on using a VM that stops.
+	loyalCallers = 8
 	// callerInterval is the mean time between two requests of a caller.
 	callerInterval = 150 * time.Millisecond
 	// readyTimeout limits the start of the whole tier.
@@ -25,7 +27,8 @@
 	// measureInterval is the time between two measurements of the processes.
 	measureInterval = 500 * time.Millisecond
 	// rollingStops is the number of VMs that are stopped and started in turn in calm.
-	rollingStops = 3
+	// stopInterval is the time between two of them, so that they overlap.
+	rollingStops, stopInterval = 3, time.Second
 	// tailSlack is the time after Bounds.Recover for which callers go on, so that K14 has
 	// requests to judge by.
 	tailSlack = 3 * time.Second
@@ -94,7 +97,7 @@
 	var background, callers conc.WaitGroup
 	background.Go(s.measure)
 	for i := range callerCount {
-		c := &callerState{s: s, number: i, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), caller: o.Platform.NewCaller()}
+		c := &callerState{s: s, number: i, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), caller: o.Platform.NewCaller(), loyal: i < loyalCallers}
 		callers.Go(func() { c.run(callerInterval) })
 	}
 	err := s.play(ctx, steps)
@@ -237,7 +240,8 @@
 		wg.Go(func() { s.apply(Step{Kind: kind, Target: target, For: shortestStep}) })
 	}
 	for i := range min(rollingStops, len(s.vms)) {
-		s.apply(Step{Kind: StopVM, Target: target + uint32(i)})
+		wg.Go(func() { s.apply(Step{Kind: StopVM, Target: target + uint32(i)}) })
+		time.Sleep(stopInterval)
 	}
 	wg.Wait()
 }
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -37,9 +37,15 @@
 	routeSearch dandeliongap.RouteName = "search" // to all shards
 	routeFetch  dandeliongap.RouteName = "fetch"  // to one service, another one in each configuration
 	routeOrder  dandeliongap.RouteName = "order"  // to one service, may not be repeated
+	// routeArchive leads to one service whose requests take long. Their deadline lies after
+	// the end of a stop.
+	routeArchive dandeliongap.RouteName = "archive"
 )
 
-const ordersService dandeliongap.ServiceName = "orders"
+const (
+	ordersService  dandeliongap.ServiceName = "orders"
+	archiveService dandeliongap.ServiceName = "archive"
+)
 
 func shardName(set, i int) dandeliongap.ServiceName {
 	return dandeliongap.ServiceName(fmt.Sprintf("shard%c%d", 'a'+rune(set), i))
@@ -51,7 +57,7 @@
 
 // services returns all services.
 func services() []dandeliongap.ServiceName {
-	out := []dandeliongap.ServiceName{ordersService}
+	out := []dandeliongap.ServiceName{ordersService, archiveService}
 	for i := range fetchServices {
 		out = append(out, fetchName(i))
 	}
@@ -105,8 +111,9 @@
 	}
 	fetch := dandeliongap.Route{Name: routeFetch, Prefix: "/fetch/", Idempotent: true, LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: fetchName(int(o.number % fetchServices))}
 	order := dandeliongap.Route{Name: routeOrder, Prefix: "/order/", LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: ordersService}
-	for _, r := range []dandeliongap.Route{search, fetch, order} {
-		r.Host, r.Timeout, r.MaxAttempts = host, 2*time.Second, 2
+	archive := dandeliongap.Route{Name: routeArchive, Prefix: "/archive/", Idempotent: true, LatencyObjective: 2 * time.Second, Priority: 2, Service: archiveService}
+	for _, r := range []dandeliongap.Route{search, fetch, order, archive} {
+		r.Host, r.Timeout, r.MaxAttempts = host, max(deadlines[r.Name], 2*time.Second), 2
 		cfg.Routes = append(cfg.Routes, r)
 	}
 	return cfg
@@ -146,7 +153,7 @@
 		ID: dandeliongap.InstanceID(fmt.Sprintf("i-%s-%d", service, f.started)), Service: service, Zone: zone, Slots: slots, StartUnixMs: time.Now().UnixMilli(),
 	}
 	f.mu.Unlock()
-	server, err := f.platform.NewServer(ServerOptions{Instance: in, Content: content, Stamp: stamp, Record: f.ledger.arrived, Now: f.now})
+	server, err := f.platform.NewServer(ServerOptions{Instance: in, Content: content, Work: workTime, Stamp: stamp, Record: f.ledger.arrived, Now: f.now})
 	if err != nil {
 		return err
 	}
--- a/dgsoak/vm.go
+++ b/dgsoak/vm.go
@@ -150,7 +150,13 @@
 	s.Process = process
 	select {
 	case <-ended:
-	case <-time.After(v.bounds.Grace + stopSlack):
+	case <-time.After(signalInterval):
+		v.reload()
+		v.signal(syscall.SIGTERM, true)
+	}
+	select {
+	case <-ended:
+	case <-time.After(v.bounds.Grace + stopSlack - signalInterval):
 		s.Late = true
 		v.kill()
 	}
@@ -159,6 +165,9 @@
 	return s.SignalAt
 }
 
+// signalInterval is the time after which a process that stops gets SIGHUP, and SIGTERM again.
+const signalInterval = time.Second
+
 // stopSlack is added to the bound of a stop, for the process to be scheduled.
 const stopSlack = 500 * time.Millisecond
 
