Take the addresses of process tests from a range that the system does not use

Tests of processes that ran beside each other took each other's ports: a process did not start (address in use), or a test reached the process of another one. The tests check as much as before.

--- a/cmd/dandeliongap-edge/process_test.go
+++ b/cmd/dandeliongap-edge/process_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"dandeliongap.example/dandeliongap/dgsoak"
 	"dandeliongap.example/dandeliongap/platform"
 	. "github.com/onsi/gomega"
 )
@@ -40,12 +41,12 @@
 	return o.b.String()
 }
 
-// freeAddress returns a TCP address that was free when it was checked.
+// freeAddress returns a TCP address that was free when it was checked. Its port is not one
+// that the system gives to other sockets.
 func freeAddress(g *WithT) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := dgsoak.FreeAddress()
 	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 func build(t *testing.T, g *WithT) string {
