Count a stop from when its signal can have been sent

Cause: the platform counts the limit from SIGTERM, Drain counted from when it handled the signal.

Change: a check each 100 ms tells when the process last ran (dgadmit A8). If it did not run until a moment ago, the schedule counts from then. The stop line has the time as Late.

--- a/cmd/dandeliongap-edge/stop_test.go
+++ b/cmd/dandeliongap-edge/stop_test.go
@@ -7,9 +7,11 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -64,3 +66,23 @@
 	g.Eventually(ended, "4s").Should(BeClosed(), func() string { return "not within the shutdown limit: " + out.text() })
 	g.Expect(cmd.ProcessState.ExitCode()).To(BeZero(), out.text())
 }
+
+// TestStopAfterPause guards against a stop that takes its whole time although its signal has
+// waited while the process did not run, and that the kill cuts off.
+func TestStopAfterPause(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	g := NewWithT(t)
+	ready := freeAddress(g)
+	cmd, out, _, ended := start(t, g, settings(g, ready, "52"))
+	g.Eventually(readyStatus(ready), waitLimit).Should(Equal(http.StatusServiceUnavailable))
+	time.Sleep(300 * time.Millisecond) // some ticks by which the process knows that it runs
+	for _, sig := range []os.Signal{syscall.SIGSTOP, syscall.SIGTERM} {
+		g.Expect(cmd.Process.Signal(sig)).To(Succeed())
+	}
+	time.Sleep(pause)
+	g.Expect(cmd.Process.Signal(syscall.SIGCONT)).To(Succeed())
+	g.Eventually(ended, waitLimit).Should(BeClosed())
+	late := regexp.MustCompile(`"Msg":"stop","Late":([0-9.]+)`).FindStringSubmatch(out.text())
+	g.Expect(late).NotTo(BeNil(), out.text())
+	g.Expect(strconv.ParseFloat(late[1], 64)).To(BeNumerically(">=", pause.Milliseconds()), "milliseconds")
+}
--- /dev/null
+++ b/dgadmit/stall.go
@@ -0,0 +1,50 @@
+package dgadmit
+
+import "time"
+
+const (
+	// stallThreshold is the time between two ticks from which the process counts as
+	// stalled.
+	stallThreshold = 200 * time.Millisecond
+	// signalDelay is the time in which a process that runs handles a signal.
+	signalDelay = 150 * time.Millisecond
+)
+
+// Stalls finds the times in which the process did not run, for lack of processor time or
+// because it was paused (A8). All times are readings of one clock. The zero value has seen
+// no tick.
+type Stalls struct {
+	ticked   bool
+	last     time.Duration // last tick
+	from, to time.Duration // last stall
+}
+
+// Tick records that the process runs. Ticks are due several times in stallThreshold. Tick
+// returns the length of the stall that it ends, or 0.
+func (s *Stalls) Tick(now time.Duration) time.Duration {
+	stalled := s.stalledFor(now)
+	if stalled > 0 {
+		s.from, s.to = s.last, now
+	}
+	s.ticked, s.last = true, now
+	return stalled
+}
+
+// SignalSent returns the earliest time at which a signal can have been sent that is handled
+// now.
+func (s *Stalls) SignalSent(now time.Duration) time.Duration {
+	switch {
+	case s.stalledFor(now) > 0:
+		return s.last
+	case s.to > s.from && now-s.to <= signalDelay:
+		return s.from
+	}
+	return now
+}
+
+func (s *Stalls) stalledFor(now time.Duration) time.Duration {
+	if !s.ticked || now-s.last < stallThreshold {
+		return 0
+	}
+	return now - s.last
+}
--- a/dgedge/active.go
+++ b/dgedge/active.go
@@ -91,23 +91,24 @@
 func (e *Edge) watchDisconnects() {
 	t := time.NewTicker(disconnectCheckInterval)
 	defer t.Stop()
-	last := time.Now()
 	for {
 		select {
 		case <-e.stop:
 			return
 		case <-t.C:
-			if gap := time.Since(last); gap > stallThreshold {
-				e.stats.add("Stalls")
-				e.log.event("stalled").Dur("For", gap-disconnectCheckInterval).Send()
-			}
-			last = time.Now()
+			e.tick()
 			e.active.checkConnections()
 		}
 	}
 }
 
-// stallThreshold is the time between two checks of connections from which the process
-// counts as stalled: it got too little processor time, or was paused. The checks are due
-// each disconnectCheckInterval.
-const stallThreshold = 400 * time.Millisecond
+// tick records that the process runs.
+func (e *Edge) tick() {
+	e.stallMu.Lock()
+	stalled := e.stalls.Tick(time.Since(e.start))
+	e.stallMu.Unlock()
+	if stalled > 0 {
+		e.stats.add("Stalls")
+		e.log.event("stalled").Dur("For", stalled).Send()
+	}
+}
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -68,6 +68,8 @@
 
 	active   activeSet
 	attempts atomic.Int64 // attempts started
+	stallMu  sync.Mutex   // guards stalls
+	stalls   dgadmit.Stalls
 	callers  *callerListener
 	servers  []*fasthttp.Server
 	stop     chan struct{}
@@ -247,10 +249,10 @@
 // returns when the process may exit.
 func (e *Edge) Drain() {
 	s := e.latestSettings.Load()
-	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, time.Now()}
+	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, e.signalSent()}
 	e.stopping.Store(stop)
 	e.control.requestPublish()
-	e.log.event("stop").Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
+	e.log.event("stop").Dur("Late", time.Since(stop.begin)).Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
 	minEnd := stop.at(time.Duration(drainMinShare * float64(stop.Limit)))
 	for idlePolls := 0; time.Now().Before(stop.at(stop.AnswerBy())); {
 		time.Sleep(drainPollInterval)
@@ -277,6 +279,14 @@
 		Int("Connections", e.callers.len()).Dur("Took", time.Since(stop.begin)).Send()
 }
 
+// signalSent returns the earliest time at which a signal can have been sent that is handled
+// now (dgadmit A8).
+func (e *Edge) signalSent() time.Time {
+	e.stallMu.Lock()
+	defer e.stallMu.Unlock()
+	return e.start.Add(e.stalls.SignalSent(time.Since(e.start)))
+}
+
 // maxUnansweredLines limits the log lines about requests without a response at the end of
 // a stop.
 const maxUnansweredLines = 100
