--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -135,12 +135,13 @@
 	}
 }
 
-// closeInactive closes the connections that have no request in progress.
+// closeInactive closes the connections that have no request in progress, but for those that
+// linger.
 func (l *callerListener) closeInactive() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
-		if c.current.Load() == nil {
+		if c.current.Load() == nil && !c.lingering.Load() {
 			_ = c.TCPConn.Close()
 		}
 	}
@@ -164,6 +165,7 @@
 	current      atomic.Pointer[activeRequest] // from the call of its handler until its response is written
 	sent         int                           // bytes of the current response that the kernel accepted
 	unreceived   atomic.Bool                   // the caller may not have received all that was written
+	lingering    atomic.Bool                   // closed, but for what the caller has not received
 	events       connEvents
 	closed       func() // releases the place in callerListener; called again, it does nothing
 	writeTimeout time.Duration
@@ -191,8 +193,10 @@
 // kernel resets a connection that is closed with unread bytes, or that gets more bytes
 // later, and drops what it has not delivered yet.
 func (c *callerConn) Close() error {
+	lingers := c.unreceived.Swap(false)
+	c.lingering.Store(lingers)
 	c.endResponse()
-	if c.unreceived.Swap(false) && c.CloseWrite() == nil {
+	if lingers && c.CloseWrite() == nil {
 		go c.linger()
 		return nil
 	}
