Write a response before the rest of the caller's next request is read

A caller that sent a request and the head of the next one together got its first response only after the body of the next one, and none if a stop came before: the HTTP server keeps a response back while it reads a request of which bytes have arrived. The log said done, with no request active.

A write deadline that the handler sets makes the server write each response at once.

--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -49,6 +49,9 @@
 		}
 		if ok {
 			conn.endRequest()
+			// With a deadline, the HTTP server writes the response before it reads on, also
+			// if a part of the next request has arrived.
+			_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout))
 		} else {
 			e.active.remove(active)
 		}
