Let a stop begin at most half of its limit before its signal is handled

A signal older than the limit would have ended in a kill.

The begin is at most half of the limit ago (dgadmit A8), which leaves the other half to requests in progress.

--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -26,8 +26,8 @@
 //	    connections of callers at once, without reading from them, so that these callers
 //	    can try another VM. The rest is for backend servers, the store and other VMs.
 //	A8  A shutdown begins when its signal can have been sent: if the process did not run
-//	    until a moment ago, when it last ran. Otherwise it would be killed before the end
-//	    of A6.
+//	    until a moment ago, when it last ran, but at most half of the limit ago. Otherwise
+//	    it would be killed before the end of A6.
 package dgadmit
 
 import (
--- a/dgadmit/stall.go
+++ b/dgadmit/stall.go
@@ -30,16 +30,18 @@
 	return stalled
 }
 
-// SignalSent returns the earliest time at which a signal can have been sent that is handled
-// now.
-func (s *Stalls) SignalSent(now time.Duration) time.Duration {
+// Begin returns the begin of a stop with the given limit whose signal is handled now: the
+// earliest time at which it can have been sent, but not more than half of the limit ago.
+// The signal most likely came late in a longer stall, and requests in progress need time.
+func (s *Stalls) Begin(now, limit time.Duration) time.Duration {
+	sent := now
 	switch {
 	case s.stalledFor(now) > 0:
-		return s.last
+		sent = s.last
 	case s.to > s.from && now-s.to <= signalDelay:
-		return s.from
+		sent = s.from
 	}
-	return now
+	return max(sent, now-limit/2)
 }
 
 func (s *Stalls) stalledFor(now time.Duration) time.Duration {
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -249,7 +249,7 @@
 // returns when the process may exit.
 func (e *Edge) Drain() {
 	s := e.latestSettings.Load()
-	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, e.signalSent()}
+	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, e.stopBegin(s.ShutdownLimit)}
 	e.stopping.Store(stop)
 	e.control.requestPublish()
 	e.log.event("stop").Dur("Late", time.Since(stop.begin)).Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
@@ -279,12 +279,11 @@
 		Int("Connections", e.callers.len()).Dur("Took", time.Since(stop.begin)).Send()
 }
 
-// signalSent returns the earliest time at which a signal can have been sent that is handled
-// now (dgadmit A8).
-func (e *Edge) signalSent() time.Time {
+// stopBegin returns the begin of a stop whose signal is handled now (dgadmit A8).
+func (e *Edge) stopBegin(limit time.Duration) time.Time {
 	e.stallMu.Lock()
 	defer e.stallMu.Unlock()
-	return e.start.Add(e.stalls.SignalSent(time.Since(e.start)))
+	return e.start.Add(e.stalls.Begin(time.Since(e.start), limit))
 }
 
 // maxUnansweredLines limits the log lines about requests without a response at the end of
