Close the connections to all listeners of a VM that stops

A part of a second request there was waited for until its read timeout of 20 s.

Close ends these connections after 250 ms.

--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -71,6 +71,7 @@
 	stallMu  sync.Mutex   // guards stalls
 	stalls   dgadmit.Stalls
 	callers  *callerListener
+	aux      []*auxListener
 	servers  []*fasthttp.Server
 	stop     chan struct{}
 	wg       conc.WaitGroup
@@ -154,7 +155,9 @@
 		if err != nil {
 			return err
 		}
-		e.serve(e.retryAccept(l), &fasthttp.Server{
+		aux := &auxListener{Listener: e.retryAccept(l)}
+		e.aux = append(e.aux, aux)
+		e.serve(aux, &fasthttp.Server{
 			Handler: h, NoDefaultServerHeader: true, IdleTimeout: auxIdleTimeout, ReadTimeout: auxIdleTimeout, Logger: discardLogger{},
 		})
 	}
@@ -170,6 +173,8 @@
 	// auxIdleTimeout is the idle and read timeout of connections to all listeners but
 	// the entry listener.
 	auxIdleTimeout = 20 * time.Second
+	// auxCloseTimeout is the time that these connections have to end in Close.
+	auxCloseTimeout = 250 * time.Millisecond
 )
 
 func (e *Edge) serve(l net.Listener, s *fasthttp.Server) {
@@ -309,12 +314,18 @@
 	close(e.stop)
 	e.callers.closeUnused()
 	abandon := time.AfterFunc(e.receiveTime(), e.callers.closeInactive)
+	abandonAux := time.AfterFunc(auxCloseTimeout, func() {
+		for _, l := range e.aux {
+			l.closeAll()
+		}
+	})
 	var shutdowns conc.WaitGroup
 	for _, s := range e.servers {
 		shutdowns.Go(func() { _ = s.Shutdown() }) // fails only if the listener is closed already
 	}
 	shutdowns.Wait()
 	abandon.Stop()
+	abandonAux.Stop()
 	e.callers.wait()
 	err := e.forward.Close()
 	e.control.close()
