--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -75,6 +75,11 @@
 		Expect(s.AnswerBy()).To(BeNumerically(">", s.OpenUntil()))
 		Expect(s.Admit(s.AnswerBy()-time.Second, time.Second).Status).To(BeZero())
 	})
+	It("A6: stop waiting for slow callers before the process is killed (otherwise no log line names the requests that are cut; issue 29)", func() {
+		s := dgadmit.Stop{Limit: 6 * time.Second, DirectoryTTL: time.Second}
+		Expect(s.ReceiveBy()).To(BeNumerically(">", s.AnswerBy()))
+		Expect(s.ReceiveBy()).To(BeNumerically("<", s.Limit))
+	})
 	DescribeTable("A7: leave a quarter of the descriptors to everything but callers (otherwise a crowd of callers keeps a VM from reaching backend servers and the store; review/3)",
 		func(descriptors uint64, want int64) {
 			Expect(dgadmit.MaxCallerConnections(descriptors)).To(Equal(want))
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -274,11 +274,11 @@
 	if ended > 0 {
 		close(e.endRequests)
 	}
-	for e.active.len() > 0 && time.Now().Before(stop.at(stop.Limit)) {
+	for e.active.len() > 0 && time.Now().Before(stop.at(stop.ReceiveBy())) {
 		time.Sleep(endPollInterval)
 	}
 	for _, r := range e.active.oldest(maxUnansweredLines) {
-		e.log.request("unanswered", r.id).Str("Rule", "A6").Dur("Age", time.Since(r.startedAt)).Send()
+		e.log.event("unanswered").Str("Request", r.id).Str("Rule", "A6").Dur("Age", time.Since(r.startedAt)).Send()
 	}
 	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).
 		Int("Connections", e.callers.len()).Dur("Took", time.Since(stop.begin)).Send()
