--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// wait waits until no connection is open. It must be called once, after the HTTP server has
-// ended.
-func (l *callerListener) wait() {
+// wait waits until no connection is open. At end it closes those that linger. It must be
+// called once, after the HTTP server has ended.
+func (l *callerListener) wait(end time.Time) {
 	l.mu.Lock()
 	if len(l.open) == 0 {
 		l.mu.Unlock()
@@ -119,6 +119,18 @@
 	done := make(chan struct{})
 	l.allDone = done
 	l.mu.Unlock()
+	t := time.NewTimer(time.Until(end))
+	defer t.Stop()
+	select {
+	case <-done:
+		return
+	case <-t.C:
+	}
+	l.mu.Lock()
+	for c := range l.open {
+		_ = c.TCPConn.Close()
+	}
+	l.mu.Unlock()
 	<-done
 }
 
--- a/dgedge/conns_test.go
+++ b/dgedge/conns_test.go
@@ -96,6 +96,18 @@
 		Expect(caller.Close()).To(Succeed())
 		Eventually(l.Len).Should(BeZero())
 	})
+	It("does not wait longer than a stop for callers that keep their connection after the last response (guards against a stop that is killed while it reads on; issue 29)", func() {
+		server, caller := connect()
+		send(server, caller, "GET / HTTP/1.1\r\n\r\n")
+		dgedge.BeginRequest(server)
+		_, err := server.Write([]byte("response"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Close()).To(Succeed())
+		begin := time.Now()
+		l.Wait(begin)
+		Expect(time.Since(begin)).To(BeNumerically("<", dgedge.LingerTime))
+		Expect(l.Len()).To(BeZero())
+	})
 	It("closes connections without a request in progress when their time is over (guards against a stop that waits for the rest of a request; issue 29)", func() {
 		server, caller := connect()
 		send(server, caller, "GET / HT")
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -326,7 +326,7 @@
 	shutdowns.Wait()
 	abandon.Stop()
 	abandonAux.Stop()
-	e.callers.wait()
+	e.callers.wait(e.lingerEnd())
 	err := e.forward.Close()
 	e.control.close()
 	e.wg.Wait()
@@ -335,8 +335,9 @@
 	return trace.Wrap(err)
 }
 
-// receiveTime returns how long Close waits for requests that callers have begun to send. The
-// VM refuses them under A3, as their deadlines lie after the end of a stop.
+// receiveTime returns how long Close waits for requests that callers have begun to send: until
+// the end of a stop, as the VM refuses them under A3 from then on. It is not above zero if
+// the end has passed or there is no stop.
 func (e *Edge) receiveTime() time.Duration {
 	if stop := e.stopping.Load(); stop != nil {
 		return time.Until(stop.at(stop.AnswerBy()))
@@ -344,6 +345,14 @@
 	return 0
 }
 
+// lingerEnd returns the time at which Close closes the connections that linger.
+func (e *Edge) lingerEnd() time.Time {
+	if stop := e.stopping.Load(); stop != nil {
+		return stop.at(stop.ReceiveBy())
+	}
+	return time.Now().Add(lingerTime)
+}
+
 // discardLogger drops the messages of the HTTP server about errors on single
 // connections. The caller gets a status code, and the metrics count such errors.
 type discardLogger struct{}
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -34,6 +34,9 @@
 	return c.Write(b)
 }
 
+// LingerTime exports lingerTime for tests.
+const LingerTime = lingerTime
+
 // CallerListener is a listener for callers.
 type CallerListener struct{ callerListener }
 
@@ -42,10 +45,11 @@
 	return &CallerListener{callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{} }}}
 }
 
-// CloseUnused, CloseInactive and Len export methods for tests.
-func (l *CallerListener) CloseUnused()   { l.closeUnused() }
-func (l *CallerListener) CloseInactive() { l.closeInactive() }
-func (l *CallerListener) Len() int       { return l.len() }
+// CloseUnused, CloseInactive, Wait and Len export methods for tests.
+func (l *CallerListener) CloseUnused()       { l.closeUnused() }
+func (l *CallerListener) CloseInactive()     { l.closeInactive() }
+func (l *CallerListener) Wait(end time.Time) { l.wait(end) }
+func (l *CallerListener) Len() int           { return l.len() }
 
 // BeginRequest and EndResponse record that a handler is called for a request of the
 // connection, and that its response has been written.
