Track connections and read on after a last response in one place, dghttp

The listener of dandeliongapd that knows its connections moved to dghttp as Tracker; the reading after a refused request became dghttp.Linger. Tests of both are new: TestLinger failed with Linger left out (a reset after 6,247,335 of 8,388,608 bytes). dandeliongapd behaves as before.

--- a/dgnode/api.go
+++ b/dgnode/api.go
@@ -8,6 +8,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgfanout"
+	"dandeliongap.example/dandeliongap/dghttp"
 	"dandeliongap.example/dandeliongap/dgonce"
 	"github.com/gofiber/fiber/v3"
 )
@@ -210,8 +211,8 @@
 	if errors.As(err, &fe) {
 		status = fe.Code
 	}
-	if conn, ok := c.RequestCtx().Conn().(*trackedConn); ok && (status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge) {
-		conn.unreadData.Store(true)
+	if conn, ok := c.RequestCtx().Conn().(*dghttp.TrackedConn); ok && (status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge) {
+		conn.LingerOnClose()
 	}
 	return c.Status(status).JSON(struct{ Error string }{err.Error()})
 }
--- a/dgnode/node.go
+++ b/dgnode/node.go
@@ -91,7 +91,7 @@
 	peerService *peerService
 
 	app        *fiber.App
-	callers    *connTracker
+	callers    *dghttp.Tracker
 	peerServer *http.Server
 	servers    sync.WaitGroup
 
@@ -207,7 +207,7 @@
 	})
 	n.callerRoutes(n.app)
 	n.operatorRoutes(n.app)
-	n.callers = newConnTracker(callers)
+	n.callers = &dghttp.Tracker{Listener: callers}
 	n.peerServer = &http.Server{
 		Handler:           limitBody(dgwire.NewPeerServer(n.peerService)),
 		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
@@ -306,7 +306,7 @@
 
 func (n *Node) closeAll(cut bool) error {
 	err := ignoreDeadlineExceeded(n.app.ShutdownWithTimeout(closeTimeout))
-	if open := n.callers.closeAll(); open > 0 {
+	if open := n.callers.CloseAll(); open > 0 {
 		n.log.Info("shutdown", "Rule", "S3", "Choice", "close connections without a finished request", "Connections", open)
 	}
 	if !cut {
@@ -342,7 +342,7 @@
 }
 
 func (n *Node) crash() {
-	n.callers.closeAll()
+	n.callers.CloseAll()
 	_ = n.peerServer.Close()
 	n.control.close()
 	_ = n.app.ShutdownWithTimeout(time.Millisecond)
