Take stalls between which a process ran for a moment as one

A VM with 8 ms of processor time in 100 ms ran now and then between its stalls. Its SIGTERM was handled 2.0 s after it was sent, and the stop counted from the handling: the last stall had only just begun.

A stall that begins within 150 ms after another one, less than handling a signal takes, continues it.

--- a/dgadmit/stall.go
+++ b/dgadmit/stall.go
@@ -6,7 +6,8 @@
 	// stallThreshold is the time between two ticks from which the process counts as
 	// stalled.
 	stallThreshold = 200 * time.Millisecond
-	// signalDelay is the time in which a process that runs handles a signal.
+	// signalDelay is the time in which a process that runs handles a signal. A process
+	// that runs for less between two stalls may not handle it.
 	signalDelay = 150 * time.Millisecond
 )
 
@@ -16,7 +17,7 @@
 type Stalls struct {
 	ticked   bool
 	last     time.Duration // last tick
-	from, to time.Duration // last stall
+	from, to time.Duration // last stall, together with those shortly before it
 }
 
 // Tick records that the process runs. Ticks are due several times in stallThreshold. Tick
@@ -24,7 +25,7 @@
 func (s *Stalls) Tick(now time.Duration) time.Duration {
 	stalled := s.stalledFor(now)
 	if stalled > 0 {
-		s.from, s.to = s.last, now
+		s.from, s.to = s.stallBegin(), now
 	}
 	s.ticked, s.last = true, now
 	return stalled
@@ -37,13 +38,22 @@
 	sent := now
 	switch {
 	case s.stalledFor(now) > 0:
-		sent = s.last
+		sent = s.stallBegin()
 	case s.to > s.from && now-s.to <= signalDelay:
 		sent = s.from
 	}
 	return max(sent, now-limit/2)
 }
 
+// stallBegin returns the begin of a stall that began with the last tick. It belongs to the
+// stall before if that has just ended.
+func (s *Stalls) stallBegin() time.Duration {
+	if s.to > s.from && s.last-s.to <= signalDelay {
+		return s.from
+	}
+	return s.last
+}
+
 func (s *Stalls) stalledFor(now time.Duration) time.Duration {
 	if !s.ticked || now-s.last < stallThreshold {
 		return 0
