Decide about the end of a stop and its connections in dgadmit

How long a stop lasts at least, after which idle time it may end, and when the connections of callers are closed stood beside sockets and clocks in dgedge. They are rules now (A9, A10), with rows on a virtual clock; dgedge looks every 10 ms which connections a rule closes, in place of two timers and a wait of its own. The other listeners use dghttp.Tracker, which dandeliongapd had.

No bound changed: 0.53 of the limit, 450 ms (nine looks of 50 ms before), 0.95 and 0.975 of the limit, 1 s.

--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -28,6 +28,13 @@
 //	A8  A shutdown begins when its signal can have been sent: if the process did not run
 //	    until a moment ago, when it last ran, but at most half of the limit ago. Otherwise
 //	    it would be killed before the end of A6.
+//	A9  A shutdown may end before A6 once callers have had time to take another VM from
+//	    the directory and no request has been in progress for a while.
+//	A10 A VM that ends closes a connection of a caller at once if nothing has arrived on
+//	    it, and at A6 if a request has not arrived whole: neither is passed on any more.
+//	    A connection that has carried its last response stays until the caller has closed
+//	    it, or until shortly before the process is killed, as a reset could destroy the
+//	    response. One with a request in progress is not closed.
 package dgadmit
 
 import (
--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -80,6 +80,32 @@
 		Expect(s.ReceiveBy()).To(BeNumerically(">", s.AnswerBy()))
 		Expect(s.ReceiveBy()).To(BeNumerically("<", s.Limit))
 	})
+	DescribeTable("A9: end early when callers have left (otherwise a VM takes its whole limit to restart, or ends while callers still use its address)",
+		func(since, idle time.Duration, want bool) {
+			Expect(dgadmit.Stop{Limit: 6 * time.Second, DirectoryTTL: time.Second}.MayEnd(since, idle)).To(Equal(want))
+		},
+		Entry("idle from the begin on", 3*time.Second, 3*time.Second, false),
+		Entry("idle, and callers have another VM", 3200*time.Millisecond, 3200*time.Millisecond, true),
+		Entry("between two requests", 4*time.Second, 400*time.Millisecond, false),
+		Entry("idle for a while after the last request", 4*time.Second, 500*time.Millisecond, true),
+	)
+	DescribeTable("A10: close connections of callers when their time is over (otherwise they hold up the end until the kill, or lose a response; issue 29)",
+		func(c dgadmit.ConnState, since time.Duration, want bool) {
+			Expect(dgadmit.Stop{Limit: 6 * time.Second, DirectoryTTL: time.Second}.Closes(c, since)).To(Equal(want))
+		},
+		Entry("unused", dgadmit.ConnUnused, 3200*time.Millisecond, true),
+		Entry("a part of a request has arrived", dgadmit.ConnReceiving, 5600*time.Millisecond, false),
+		Entry("a part of a request has arrived, after A6", dgadmit.ConnReceiving, 5700*time.Millisecond, true),
+		Entry("a request in progress", dgadmit.ConnAnswering, 5990*time.Millisecond, false),
+		Entry("after its last response, which A6 may have caused", dgadmit.ConnLingering, 5750*time.Millisecond, false),
+		Entry("after its last response, shortly before the kill", dgadmit.ConnLingering, 5900*time.Millisecond, true),
+	)
+	It("A10: close all connections without a request in progress at once if there is no time", func() {
+		for _, c := range []dgadmit.ConnState{dgadmit.ConnUnused, dgadmit.ConnReceiving, dgadmit.ConnLingering} {
+			Expect(dgadmit.Stop{}.Closes(c, 0)).To(BeTrue())
+		}
+		Expect(dgadmit.Stop{}.Closes(dgadmit.ConnAnswering, 0)).To(BeFalse())
+	})
 	DescribeTable("A7: leave a quarter of the descriptors to everything but callers (otherwise a crowd of callers keeps a VM from reaching backend servers and the store; review/3)",
 		func(descriptors uint64, want int64) {
 			Expect(dgadmit.MaxCallerConnections(descriptors)).To(Equal(want))
--- a/dgedge/conns.go
+++ b/dgedge/conns.go
@@ -2,13 +2,14 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgadmit"
+	"dandeliongap.example/dandeliongap/dghttp"
 )
 
 const (
@@ -21,17 +22,13 @@
 	// A response that nobody reads would keep its memory for good.
 	writeTimeout = 30 * time.Second
 	writeChunk   = 64 << 10 // bytes
-	// lingerTime is how long a connection is read after its last response, at most.
-	lingerTime = time.Second
-	// maxLingerBytes limits what is read in that time.
-	maxLingerBytes = maxEntryBodyBytes
 )
 
-// States of a connection of a caller.
+// Values of callerConn.firstByte.
 const (
-	connUnused    int32 = iota // no byte has arrived
-	connUsed                   // a byte has arrived
-	connAbandoned              // closed by closeUnused
+	firstByteAwaited int32 = iota
+	firstByteRead
+	firstByteUnwanted // closeIf has closed the connection
 )
 
 // callerConn is a connection of a caller. One goroutine of the HTTP server reads and writes.
@@ -49,7 +46,7 @@
 	sent         int       // bytes of the current response that the kernel accepted
 
 	requestDone atomic.Bool // a request has ended since the last Read
-	use         atomic.Int32
+	firstByte   atomic.Int32
 	current     atomic.Pointer[activeRequest] // from the call of its handler until its response is written
 	unreceived  atomic.Bool                   // the caller may not have received all that was written
 	lingering   atomic.Bool                   // closed, but for what the caller has not received
@@ -73,29 +70,47 @@
 	return written, err
 }
 
-// Close implements net.Conn. After a response, it goes on reading in the background: the
-// kernel resets a connection that is closed with unread bytes, or that gets more bytes
-// later, and drops what it has not delivered yet.
+// Close implements net.Conn. After a response it returns at once, and the connection lingers.
 func (c *callerConn) Close() error {
 	lingers := c.unreceived.Swap(false)
 	c.lingering.Store(lingers)
 	c.endResponse()
-	if lingers && c.CloseWrite() == nil {
+	if lingers {
 		go c.linger()
 		return nil
 	}
-	err := c.TCPConn.Close()
-	c.closed()
-	return err
+	defer c.closed()
+	return c.TCPConn.Close()
 }
 
-// linger reads until the caller has closed the connection, or its time is over.
+// linger closes the connection once the caller has closed its side, or when its time is over.
 func (c *callerConn) linger() {
-	if c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
-	}
+	defer c.closed()
+	// Both errors only tell how the caller has left.
+	_ = dghttp.Linger(c.TCPConn, dgadmit.LingerTime, maxEntryBodyBytes)
 	_ = c.TCPConn.Close()
-	c.closed()
+}
+
+// closeIf closes the connection if it is in a state for which closes returns true. A first
+// byte that arrives meanwhile is either read before, or not at all.
+func (c *callerConn) closeIf(closes func(dgadmit.ConnState) bool) {
+	state := c.state()
+	if !closes(state) || state == dgadmit.ConnUnused && !c.firstByte.CompareAndSwap(firstByteAwaited, firstByteUnwanted) {
+		return
+	}
+	_ = c.TCPConn.Close() // fails only if it is closed already
+}
+
+func (c *callerConn) state() dgadmit.ConnState {
+	switch {
+	case c.lingering.Load():
+		return dgadmit.ConnLingering
+	case c.current.Load() != nil:
+		return dgadmit.ConnAnswering
+	case c.firstByte.Load() == firstByteRead:
+		return dgadmit.ConnReceiving
+	}
+	return dgadmit.ConnUnused
 }
 
 // beginRequest records that the handler of a request has been called.
@@ -132,7 +147,7 @@
 		}
 		n, err := c.TCPConn.Read(b)
 		if n > 0 {
-			if c.use.CompareAndSwap(connUnused, connUsed); c.use.Load() == connAbandoned {
+			if c.firstByte.CompareAndSwap(firstByteAwaited, firstByteRead); c.firstByte.Load() == firstByteUnwanted {
 				return 0, net.ErrClosed
 			}
 			if c.received == 0 {
--- a/dgedge/conns_test.go
+++ b/dgedge/conns_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgedge"
 )
 
@@ -72,41 +74,50 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(server.Read(make([]byte, len(text)))).To(Equal(len(text)))
 	}
-	It("closes connections on which nothing has arrived (guards against a stop that waits for them until the process is killed; issue 29)", func() {
+	// sweep closes the connections that are in one of the states.
+	sweep := func(states ...dgadmit.ConnState) {
+		l.Sweep(func(c dgadmit.ConnState) bool { return slices.Contains(states, c) })
+	}
+	// answered returns the caller of a connection that was closed after its last response.
+	answered := func() net.Conn {
+		server, caller := connect()
+		send(server, caller, "GET / HTTP/1.1\r\n\r\n")
+		dgedge.BeginRequest(server)
+		_, err := server.Write([]byte("response"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Close()).To(Succeed())
+		return caller
+	}
+	It("closes connections on which nothing has arrived, and accepts no more (guards against a stop that waits for them until the process is killed; issue 29)", func() {
 		_, unused := connect()
-		l.CloseUnused()
+		sweep(dgadmit.ConnUnused)
 		Expect(closed(unused)).To(BeTrue())
+		late, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(late.Close)
+		go func() { _, _ = l.Accept() }() // until the listener is closed
+		Expect(late.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+		_, err = late.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
 	})
-	It("does not close a connection on which a request has begun to arrive", func() {
+	It("does not take a connection for unused on which a request has begun to arrive", func() {
 		server, caller := connect()
 		send(server, caller, "GET / HT")
-		l.CloseUnused()
+		sweep(dgadmit.ConnUnused)
 		Expect(closed(caller)).To(BeFalse())
 	})
 	It("lets a caller receive its last response (guards against a reset of connections that are closed already; issue 29)", func() {
-		server, caller := connect()
-		send(server, caller, "GET / HTTP/1.1\r\n\r\n")
-		dgedge.BeginRequest(server)
-		_, err := server.Write([]byte("response"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(server.Close()).To(Succeed())
-		l.CloseInactive()
+		caller := answered()
+		sweep(dgadmit.ConnUnused, dgadmit.ConnReceiving)
 		Consistently(l.Len, 100*time.Millisecond).Should(Equal(1), "connections on which the caller can still receive")
 		Expect(io.ReadAll(caller)).To(Equal([]byte("response")))
 		Expect(caller.Close()).To(Succeed())
 		Eventually(l.Len).Should(BeZero())
 	})
 	It("does not wait longer than a stop for callers that keep their connection after the last response (guards against a stop that is killed while it reads on; issue 29)", func() {
-		server, caller := connect()
-		send(server, caller, "GET / HTTP/1.1\r\n\r\n")
-		dgedge.BeginRequest(server)
-		_, err := server.Write([]byte("response"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(server.Close()).To(Succeed())
-		begin := time.Now()
-		l.Wait(begin)
-		Expect(time.Since(begin)).To(BeNumerically("<", dgedge.LingerTime))
-		Expect(l.Len()).To(BeZero())
+		answered()
+		sweep(dgadmit.ConnLingering)
+		Eventually(l.Len, dgadmit.LingerTime/2).Should(BeZero())
 	})
 	It("closes connections without a request in progress when their time is over (guards against a stop that waits for the rest of a request; issue 29)", func() {
 		server, caller := connect()
@@ -114,11 +125,11 @@
 		busyServer, busy := connect()
 		send(busyServer, busy, "GET / HTTP/1.1\r\n\r\n")
 		dgedge.BeginRequest(busyServer)
-		l.CloseInactive()
+		sweep(dgadmit.ConnReceiving)
 		Expect(closed(caller)).To(BeTrue())
 		Expect(closed(busy)).To(BeFalse(), "connection with a request in progress")
 		dgedge.EndResponse(busyServer)
-		l.CloseInactive()
+		sweep(dgadmit.ConnReceiving)
 		Expect(closed(busy)).To(BeTrue())
 	})
 })
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -71,7 +71,7 @@
 	stallMu  sync.Mutex   // guards stalls
 	stalls   dgadmit.Stalls
 	callers  *callerListener
-	aux      []*auxListener
+	aux      []*dghttp.Tracker // all other listeners
 	servers  []*fasthttp.Server
 	stop     chan struct{}
 	wg       conc.WaitGroup
@@ -155,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		aux := &auxListener{Listener: e.retryAccept(l)}
+		aux := &dghttp.Tracker{Listener: e.retryAccept(l)}
 		e.aux = append(e.aux, aux)
 		e.serve(aux, &fasthttp.Server{
 			Handler: h, NoDefaultServerHeader: true, IdleTimeout: auxIdleTimeout, ReadTimeout: auxIdleTimeout, Logger: discardLogger{},
@@ -246,8 +246,8 @@
 	begin time.Time
 }
 
-// at returns the point in time that is d after the begin of the stop.
-func (s *plannedStop) at(d time.Duration) time.Time { return s.begin.Add(d) }
+// since returns the time since the begin of the stop.
+func (s *plannedStop) since() time.Duration { return time.Since(s.begin) }
 
 // Drain prepares the VM for a graceful exit: it takes the VM out of the directory, serves
 // the requests that can be answered in time, and refuses others (dgadmit A3, A6). It
@@ -257,31 +257,26 @@
 	stop := &plannedStop{dgadmit.Stop{Limit: s.ShutdownLimit, DirectoryTTL: min(directoryTTL, s.MaxDirectoryTTL)}, e.stopBegin(s.ShutdownLimit)}
 	e.stopping.Store(stop)
 	e.control.requestPublish()
-	e.log.event("stop").Dur("Late", time.Since(stop.begin)).Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
-	minEnd := stop.at(time.Duration(drainMinShare * float64(stop.Limit)))
-	for idlePolls := 0; time.Now().Before(stop.at(stop.AnswerBy())); {
+	e.log.event("stop").Dur("Late", stop.since()).Int("Active", e.active.len()).Dur("OpenUntil", stop.OpenUntil()).Dur("AnswerBy", stop.AnswerBy()).Send()
+	busy := time.Now() // last time at which a request was in progress
+	for stop.since() < stop.AnswerBy() && !stop.MayEnd(stop.since(), time.Since(busy)) {
 		time.Sleep(drainPollInterval)
 		if e.active.len() > 0 {
-			idlePolls = 0
-			continue
-		}
-		idlePolls++
-		if time.Now().After(minEnd) && idlePolls > drainIdlePolls {
-			break
+			busy = time.Now()
 		}
 	}
 	ended := e.active.len()
 	if ended > 0 {
 		close(e.endRequests)
 	}
-	for e.active.len() > 0 && time.Now().Before(stop.at(stop.ReceiveBy())) {
+	for e.active.len() > 0 && stop.since() < stop.ReceiveBy() {
 		time.Sleep(endPollInterval)
 	}
 	for _, r := range e.active.oldest(maxUnansweredLines) {
 		e.log.event("unanswered").Str("Request", r.id).Str("Rule", "A6").Dur("Age", time.Since(r.startedAt)).Send()
 	}
 	e.log.event("stopped").Str("Rule", "A6").Int("Ended", ended).Int("Active", e.active.len()).
-		Int("Connections", e.callers.len()).Dur("Took", time.Since(stop.begin)).Send()
+		Int("Connections", e.callers.len()).Dur("Took", stop.since()).Send()
 }
 
 // stopBegin returns the begin of a stop whose signal is handled now (dgadmit A8).
@@ -296,37 +291,22 @@
 const maxUnansweredLines = 100
 
 const (
-	// drainMinShare is the share of the shutdown limit for which Drain at least lasts,
-	// because callers may still use the address.
-	drainMinShare     = 0.53
+	// drainPollInterval is the time between two checks for requests in progress.
 	drainPollInterval = 50 * time.Millisecond
-	// drainIdlePolls is the number of polls in a row without a request in progress that
-	// must be exceeded before Drain returns early.
-	drainIdlePolls = 8
 	// endPollInterval is the time between two checks of whether the requests that Drain
 	// ended have their response.
 	endPollInterval = 5 * time.Millisecond
+	// closePollInterval is the time between two checks of the connections of callers in
+	// Close.
+	closePollInterval = 10 * time.Millisecond
 )
 
-// Close stops all activity immediately and waits for all goroutines to end.
+// Close stops all activity and waits for all goroutines to end. Without Drain before, only
+// the requests in progress have time to end.
 func (e *Edge) Close() error {
 	begin := time.Now()
 	close(e.stop)
-	e.callers.closeUnused()
-	abandon := time.AfterFunc(e.receiveTime(), e.callers.closeInactive)
-	abandonAux := time.AfterFunc(auxCloseTimeout, func() {
-		for _, l := range e.aux {
-			l.closeAll()
-		}
-	})
-	var shutdowns conc.WaitGroup
-	for _, s := range e.servers {
-		shutdowns.Go(func() { _ = s.Shutdown() }) // fails only if the listener is closed already
-	}
-	shutdowns.Wait()
-	abandon.Stop()
-	abandonAux.Stop()
-	e.callers.wait(e.lingerEnd())
+	e.closeListeners()
 	err := e.forward.Close()
 	e.control.close()
 	e.wg.Wait()
@@ -335,22 +315,38 @@
 	return trace.Wrap(err)
 }
 
-// receiveTime returns how long Close waits for requests that callers have begun to send: until
-// the end of a stop, as the VM refuses them under A3 from then on. It is not above zero if
-// the end has passed or there is no stop.
-func (e *Edge) receiveTime() time.Duration {
-	if stop := e.stopping.Load(); stop != nil {
-		return time.Until(stop.at(stop.AnswerBy()))
+// closeListeners closes all listeners and waits until their connections are closed (dgadmit
+// A10 for those of callers).
+func (e *Edge) closeListeners() {
+	stop := e.stopping.Load()
+	if stop == nil {
+		stop = &plannedStop{begin: time.Now()}
 	}
-	return 0
-}
-
-// lingerEnd returns the time at which Close closes the connections that linger.
-func (e *Edge) lingerEnd() time.Time {
-	if stop := e.stopping.Load(); stop != nil {
-		return stop.at(stop.ReceiveBy())
+	var servers conc.WaitGroup
+	for _, s := range e.servers {
+		servers.Go(func() { _ = s.Shutdown() }) // fails only if the listener is closed already
+	}
+	abandonAux := time.AfterFunc(auxCloseTimeout, func() {
+		for _, l := range e.aux {
+			l.CloseAll()
+		}
+	})
+	defer abandonAux.Stop()
+	ended := make(chan struct{})
+	go func() {
+		servers.Wait()
+		close(ended)
+	}()
+	poll := time.NewTicker(closePollInterval)
+	defer poll.Stop()
+	for running := true; running || e.callers.len() > 0; {
+		e.callers.sweep(func(c dgadmit.ConnState) bool { return stop.Closes(c, stop.since()) })
+		select {
+		case <-ended:
+			running, ended = false, nil
+		case <-poll.C:
+		}
 	}
-	return time.Now().Add(lingerTime)
 }
 
 // discardLogger drops the messages of the HTTP server about errors on single
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgpresence"
 )
 
@@ -34,9 +35,6 @@
 	return c.Write(b)
 }
 
-// LingerTime exports lingerTime for tests.
-const LingerTime = lingerTime
-
 // CallerListener is a listener for callers.
 type CallerListener struct{ callerListener }
 
@@ -45,11 +43,9 @@
 	return &CallerListener{callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{} }}}
 }
 
-// CloseUnused, CloseInactive, Wait and Len export methods for tests.
-func (l *CallerListener) CloseUnused()       { l.closeUnused() }
-func (l *CallerListener) CloseInactive()     { l.closeInactive() }
-func (l *CallerListener) Wait(end time.Time) { l.wait(end) }
-func (l *CallerListener) Len() int           { return l.len() }
+// Sweep and Len export methods for tests.
+func (l *CallerListener) Sweep(closes func(dgadmit.ConnState) bool) { l.sweep(closes) }
+func (l *CallerListener) Len() int                                  { return l.len() }
 
 // BeginRequest and EndResponse record that a handler is called for a request of the
 // connection, and that its response has been written.
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -50,7 +50,8 @@
 		if ok {
 			conn.endRequest()
 			// With a deadline, the HTTP server writes the response before it reads on, also
-			// if a part of the next request has arrived.
+			// if a part of the next request has arrived. On a closed connection the
+			// deadline cannot be set, and the write fails next.
 			_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout))
 		} else {
 			e.active.remove(active)
@@ -122,7 +123,7 @@
 // route's shards have usable replicas.
 func (e *Edge) admit(req *request) dgadmit.Refusal {
 	if stop := e.stopping.Load(); stop != nil {
-		if r := stop.Admit(time.Since(stop.begin), req.deadline.Sub(e.now())); r.Status != 0 {
+		if r := stop.Admit(stop.since(), req.deadline.Sub(e.now())); r.Status != 0 {
 			return r
 		}
 	}
--- a/dgedge/listeners.go
+++ b/dgedge/listeners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgadmit"
 )
 
 // callerListener applies the timeouts of the current configuration to the
@@ -20,8 +21,7 @@
 
 	mu      sync.Mutex
 	open    map[*callerConn]struct{}
-	closing bool          // connections without a request are closed
-	allDone chan struct{} // closed when the last connection is removed; nil: nobody waits
+	closing bool // no more connections are accepted
 }
 
 // connEvents are called by connections of callers. Fields that are nil are not called.
@@ -82,106 +82,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
-	if len(l.open) == 0 && l.allDone != nil {
-		close(l.allDone)
-		l.allDone = nil
-	}
-}
-
-// wait waits until no connection is open. At end it closes those that linger. It must be
-// called once, after the HTTP server has ended.
-func (l *callerListener) wait(end time.Time) {
-	l.mu.Lock()
-	if len(l.open) == 0 {
-		l.mu.Unlock()
-		return
-	}
-	done := make(chan struct{})
-	l.allDone = done
-	l.mu.Unlock()
-	t := time.NewTimer(time.Until(end))
-	defer t.Stop()
-	select {
-	case <-done:
-		return
-	case <-t.C:
-	}
-	l.mu.Lock()
-	for c := range l.open {
-		_ = c.TCPConn.Close()
-	}
-	l.mu.Unlock()
-	<-done
 }
 
-// closeUnused closes the connections on which no byte has arrived, also those that are
-// accepted later. A shutdown of the HTTP server waits for them for seconds.
-func (l *callerListener) closeUnused() {
+// sweep closes the connections in a state for which closes returns true, and those that are
+// accepted from now on.
+func (l *callerListener) sweep(closes func(dgadmit.ConnState) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
 	for c := range l.open {
-		if c.use.CompareAndSwap(connUnused, connAbandoned) {
-			_ = c.TCPConn.Close()
-		}
-	}
-}
-
-// closeInactive closes the connections that have no request in progress, but for those that
-// linger.
-func (l *callerListener) closeInactive() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
-		if c.current.Load() == nil && !c.lingering.Load() {
-			_ = c.TCPConn.Close()
-		}
+		c.closeIf(closes)
 	}
 }
-
-// auxListener is a listener for others than callers. It knows its open connections, so that
-// these can be closed when a stop is over.
-type auxListener struct {
-	net.Listener
-
-	mu   sync.Mutex
-	open map[*auxConn]struct{}
-}
-
-// Accept implements net.Listener.
-func (l *auxListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	conn := &auxConn{c, l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open == nil {
-		l.open = make(map[*auxConn]struct{})
-	}
-	l.open[conn] = struct{}{}
-	return conn, nil
-}
-
-// closeAll closes the open connections.
-func (l *auxListener) closeAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
-		_ = c.Conn.Close()
-	}
-}
-
-type auxConn struct {
-	net.Conn
-	listener *auxListener
-}
-
-// Close implements net.Conn.
-func (c *auxConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.open, c)
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
-}
