--- a/cmd/dandeliongap-edge/stop_test.go
+++ b/cmd/dandeliongap-edge/stop_test.go
@@ -1,14 +1,15 @@
 package main_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -18,37 +19,15 @@
 	"dandeliongap.example/dandeliongap/platform"
 )
 
-// start starts the program with the given settings and returns the address for callers
-// and a channel that is closed when the process has ended.
-func start(t *testing.T, g *WithT, text string) (cmd *exec.Cmd, out *outputBuffer, entry string, ended chan struct{}) {
-	file := filepath.Join(t.TempDir(), "edge.ini")
-	g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-	cmd, out, ended = exec.Command(build(t, g)), new(outputBuffer), make(chan struct{})
-	cmd.Env = append(os.Environ(), "DANDELIONGAP_SETTINGS="+file)
-	cmd.Stdout, cmd.Stderr = out, out
-	g.Expect(cmd.Start()).To(Succeed())
-	go func() {
-		defer close(ended)
-		_ = cmd.Wait() // the tests look at ProcessState
-	}()
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		<-ended
-	})
-	return cmd, out, regexp.MustCompile(`entry listen = (\S+)`).FindStringSubmatch(text)[1], ended
+// longStop returns settings with a shutdown limit of 4 s.
+func longStop(g *WithT) string {
+	return strings.ReplaceAll(settings(g, freeAddress(g), "52"), "shutdown limit = 2s", "shutdown limit = 4s")
 }
 
-// readyStatus returns a function that returns the status code of the readiness check, or
-// 0 if there is none.
-func readyStatus(addr string) func() int {
-	return func() int {
-		resp, err := http.Get("http://" + addr + platform.Dialect().ReadyPath)
-		if err != nil {
-			return 0
-		}
-		defer resp.Body.Close()
-		return resp.StatusCode
-	}
+// request returns a GET request with an id.
+func request(id string) string {
+	names := platform.Dialect().Backend
+	return fmt.Sprintf("GET /r/1 HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 1000\r\n\r\n", names.RequestID, id, names.Deadline)
 }
 
 // TestStopUnusedConnection guards against a stop that a connection without any request, of a
@@ -57,17 +36,13 @@
 	for _, listener := range []string{"entry", "directory"} {
 		t.Run(listener, func(t *testing.T) {
 			g := NewWithT(t)
-			ready := freeAddress(g)
-			text := strings.ReplaceAll(settings(g, ready, "52"), "shutdown limit = 2s", "shutdown limit = 4s")
-			cmd, out, _, ended := start(t, g, text)
-			g.Eventually(readyStatus(ready), waitLimit).Should(Equal(http.StatusServiceUnavailable))
-			g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
-			g.Eventually(out.text, waitLimit).Should(ContainSubstring(`"Msg":"stop"`))
-			c, err := net.Dial("tcp", regexp.MustCompile(listener + ` listen = (\S+)`).FindStringSubmatch(text)[1])
+			p := startProcess(t, g, longStop(g), http.StatusServiceUnavailable)
+			p.stop(g)
+			c, err := net.Dial("tcp", p.listener(listener))
 			g.Expect(err).NotTo(HaveOccurred())
 			defer c.Close()
-			g.Eventually(ended, "4s").Should(BeClosed(), func() string { return "not within the shutdown limit: " + out.text() })
-			g.Expect(cmd.ProcessState.ExitCode()).To(BeZero(), out.text())
+			g.Eventually(p.ended, "4s").Should(BeClosed(), func() string { return "not within the shutdown limit: " + p.out.text() })
+			g.Expect(p.cmd.ProcessState.ExitCode()).To(BeZero(), p.out.text())
 		})
 	}
 }
@@ -77,18 +52,66 @@
 func TestStopAfterPause(t *testing.T) {
 	const pause = 1500 * time.Millisecond
 	g := NewWithT(t)
-	ready := freeAddress(g)
-	text := strings.ReplaceAll(settings(g, ready, "52"), "shutdown limit = 2s", "shutdown limit = 4s")
-	cmd, out, _, ended := start(t, g, text)
-	g.Eventually(readyStatus(ready), waitLimit).Should(Equal(http.StatusServiceUnavailable))
+	p := startProcess(t, g, longStop(g), http.StatusServiceUnavailable)
 	time.Sleep(300 * time.Millisecond) // some ticks by which the process knows that it runs
 	for _, sig := range []os.Signal{syscall.SIGSTOP, syscall.SIGTERM} {
-		g.Expect(cmd.Process.Signal(sig)).To(Succeed())
+		g.Expect(p.cmd.Process.Signal(sig)).To(Succeed())
 	}
 	time.Sleep(pause)
-	g.Expect(cmd.Process.Signal(syscall.SIGCONT)).To(Succeed())
-	g.Eventually(ended, waitLimit).Should(BeClosed())
-	late := regexp.MustCompile(`"Msg":"stop","Late":([0-9.]+)`).FindStringSubmatch(out.text())
-	g.Expect(late).NotTo(BeNil(), out.text())
+	g.Expect(p.cmd.Process.Signal(syscall.SIGCONT)).To(Succeed())
+	g.Eventually(p.ended, waitLimit).Should(BeClosed())
+	late := regexp.MustCompile(`"Msg":"stop","Late":([0-9.]+)`).FindStringSubmatch(p.out.text())
+	g.Expect(late).NotTo(BeNil(), p.out.text())
 	g.Expect(strconv.ParseFloat(late[1], 64)).To(BeNumerically(">=", pause.Milliseconds()), "milliseconds")
 }
+
+// TestStopUnreadBytes guards against a response that a reset destroys because the caller
+// has sent more than the request before a VM that stops closes the connection.
+func TestStopUnreadBytes(t *testing.T) {
+	const bodyBytes, receiveBuffer = 36 << 10, 4 << 10
+	g := NewWithT(t)
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	arrive := sync.OnceFunc(func() { close(arrived) })
+	p := startServing(t, g, func(w http.ResponseWriter, _ *http.Request) {
+		arrive()
+		<-respond
+		_, _ = io.WriteString(w, strings.Repeat("x", bodyBytes))
+	})
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	c, err := d.Dial("tcp", p.listener("entry"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, request("r1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(arrived, waitLimit).Should(BeClosed(), p.out.text)
+	p.stop(g)
+	_, err = io.WriteString(c, request("r2"))
+	g.Expect(err).NotTo(HaveOccurred())
+	close(respond)
+	time.Sleep(50 * time.Millisecond) // a round trip of a network
+	response, err := io.ReadAll(c)
+	g.Expect(err).NotTo(HaveOccurred(), "after %d bytes", len(response))
+	g.Expect(strings.Count(string(response), "x")).To(BeNumerically(">=", bodyBytes))
+	g.Eventually(p.ended, waitLimit).Should(BeClosed(), p.out.text)
+}
+
+// TestStopPipelinedBody guards against a response that a stop drops because it is held
+// back until the body of the next request has arrived.
+func TestStopPipelinedBody(t *testing.T) {
+	g := NewWithT(t)
+	p := startServing(t, g, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, err := net.Dial("tcp", p.listener("entry"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	next := strings.Replace(request("r2"), "GET /r/1 HTTP/1.1\r\n", "POST /r/2 HTTP/1.1\r\nContent-Length: 5\r\n", 1)
+	_, err = io.WriteString(c, request("r1")+next)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(p.out.text, waitLimit).Should(ContainSubstring(`"Msg":"done"`))
+	p.stop(g)
+	response, _ := io.ReadAll(c) // the rest of the connection is of no interest
+	g.Expect(string(response)).To(ContainSubstring("whole"), p.out.text())
+}
