--- a/dgsoak/callers.go
+++ b/dgsoak/callers.go
@@ -17,9 +17,9 @@
 	// searchShare and fetchShare are the shares of the requests of these routes; the rest
 	// are orders.
 	searchShare, fetchShare = 0.6, 0.25
-	// loyalArchiveShare is the share of the requests of loyal callers that go to the
+	// stickyArchiveShare is the share of the requests of sticky callers that go to the
 	// archive.
-	loyalArchiveShare = 0.4
+	stickyArchiveShare = 0.4
 )
 
 // deadlines are the times that callers wait for responses.
@@ -34,7 +34,7 @@
 	number    int
 	rng       *rand.Rand
 	caller    Caller
-	loyal     bool // uses a VM until its process is gone, whatever the directory says
+	sticky    bool // uses a VM until its process is gone, whatever the directory says
 	sent      int
 	known     []*vm // VMs that the directory named and that have not failed since
 	refreshAt dandeliongap.Instant
@@ -52,13 +52,13 @@
 }
 
 func (c *callerState) send() {
-	if !c.loyal && c.s.now() >= c.refreshAt || len(c.known) == 0 {
+	if !c.sticky && c.s.now() >= c.refreshAt || len(c.known) == 0 {
 		c.refresh()
 	}
 	if len(c.known) == 0 {
 		return
 	}
-	if c.loyal {
+	if c.sticky {
 		c.known = c.known[:1]
 	}
 	v := c.known[c.rng.IntN(len(c.known))]
@@ -79,7 +79,7 @@
 	name, method, body := routeOrder, "POST", fmt.Sprintf("order of %s", id)
 	p := c.rng.Float64()
 	switch {
-	case c.loyal && c.rng.Float64() < loyalArchiveShare:
+	case c.sticky && c.rng.Float64() < stickyArchiveShare:
 		name, method, body = routeArchive, "GET", ""
 	case p < searchShare:
 		name, method, body = routeSearch, "GET", ""
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -18,8 +18,8 @@
 const (
 	// callerCount is the number of callers, each of which has one request at a time.
 	callerCount = 20
-	// loyalCallers is the number of callers that go on using a VM that stops.
-	loyalCallers = 8
+	// stickyCallers is the number of callers that go on using a VM that stops.
+	stickyCallers = 8
 	// callerInterval is the mean time between two requests of a caller.
 	callerInterval = 150 * time.Millisecond
 	// readyTimeout limits the start of the whole tier.
@@ -97,7 +97,7 @@
 	var background, callers conc.WaitGroup
 	background.Go(s.measure)
 	for i := range callerCount {
-		c := &callerState{s: s, number: i, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), caller: o.Platform.NewCaller(), loyal: i < loyalCallers}
+		c := &callerState{s: s, number: i, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), caller: o.Platform.NewCaller(), sticky: i < stickyCallers}
 		callers.Go(func() { c.run(callerInterval) })
 	}
 	err := s.play(ctx, steps)
