--- a/cmd/dandeliongap-edge/stop_test.go
+++ b/cmd/dandeliongap-edge/stop_test.go
@@ -19,6 +19,9 @@
 	"dandeliongap.example/dandeliongap/platform"
 )
 
+// shutdownLimit is the limit in the settings of these tests.
+const shutdownLimit = 2 * time.Second
+
 // longStop returns settings with a shutdown limit of 4 s.
 func longStop(g *WithT) string {
 	return strings.ReplaceAll(settings(g, freeAddress(g), "52"), "shutdown limit = 2s", "shutdown limit = 4s")
@@ -112,6 +115,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(p.out.text, waitLimit).Should(ContainSubstring(`"Msg":"done"`))
 	p.stop(g)
+	kill := time.AfterFunc(shutdownLimit, func() { _ = p.cmd.Process.Kill() }) // as the platform does
+	defer kill.Stop()
 	response, _ := io.ReadAll(c) // the rest of the connection is of no interest
 	g.Expect(string(response)).To(ContainSubstring("whole"), p.out.text())
 }
