--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -39,6 +39,8 @@
 //	R11 A replica in another availability zone than the VM costs otherZoneCostFactor
 //	    times as much: it is used if those in the VM's zone are slow, busy or
 //	    unusable. Traffic between zones takes longer and is charged for.
+//	R12 A request may be restricted to groups of replicas, by version, zone or ID
+//	    (dgrollout). Within a group all other rules hold.
 package dgbalance
 
 import (
@@ -178,6 +180,7 @@
 	Cost        float64       // cost of the replica when it was selected (R3)
 	EstimateAge time.Duration // age of the estimates behind Cost
 	Candidates  int           // number of replicas that were compared
+	Cold        bool          // the replica was in cold start
 	Probe       bool          // a response is unlikely: the replica was down or unresponsive for responseUnlikelyAfter
 }
 
@@ -352,15 +355,20 @@
 // and retryAt is the time at which to call Pick again: at most ProbeInterval later,
 // unless all replicas are paused (R10).
 func (b *Balancer) Pick(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, excluded, failed []dandeliongap.InstanceID) (a Assignment, retryAt dandeliongap.Instant, err error) {
+	return b.pickAmong(now, route, s, Group{}, excluded, failed)
+}
+
+// pickAmong is Pick for the replicas of a group.
+func (b *Balancer) pickAmong(now dandeliongap.Instant, route dandeliongap.RouteName, s dandeliongap.ServiceName, group Group, excluded, failed []dandeliongap.InstanceID) (a Assignment, retryAt dandeliongap.Instant, err error) {
 	var best *replica
 	bestCost := math.Inf(1)
 	candidates := 0
 	retryAt = now.Add(ProbeInterval)
-	if at, ok := b.pauseEnd(now, s, excluded); ok {
+	if at, ok := b.pauseEnd(now, s, group, excluded); ok {
 		retryAt = at
 	}
 	for _, r := range b.services[s] {
-		if !b.eligible(r) || slices.Contains(excluded, r.instance.ID) {
+		if !b.eligible(r) || slices.Contains(excluded, r.instance.ID) || !group.has(&r.instance) {
 			continue
 		}
 		if b.suspended(now, r) {
@@ -393,11 +401,12 @@
 		best.nextProbe = now.Add(ProbeInterval)
 		probe = probe || unanswered > responseUnlikelyAfter
 	}
+	cold := now < best.coldUntil
 	best.startTimes = append(best.startTimes, now)
 	if !best.unanswered {
 		best.unanswered, best.unansweredSince = true, now
 	}
-	return Assignment{Instance: best.instance, Start: now, Cost: bestCost, EstimateAge: now.Sub(best.estimatedAt), Candidates: candidates, Probe: probe}, 0, nil
+	return Assignment{Instance: best.instance, Start: now, Cost: bestCost, EstimateAge: now.Sub(best.estimatedAt), Candidates: candidates, Probe: probe, Cold: cold}, 0, nil
 }
 
 // busyRetryDelay is the time until the next attempt to get a free connection, or a
--- a/dgbalance/hints.go
+++ b/dgbalance/hints.go
@@ -112,9 +112,9 @@
 
 // pauseEnd returns the time at which the first pause of the replicas that the request may
 // use is over, and false if not all of them are paused (R10).
-func (b *Balancer) pauseEnd(now dandeliongap.Instant, s dandeliongap.ServiceName, excluded []dandeliongap.InstanceID) (at dandeliongap.Instant, ok bool) {
+func (b *Balancer) pauseEnd(now dandeliongap.Instant, s dandeliongap.ServiceName, group Group, excluded []dandeliongap.InstanceID) (at dandeliongap.Instant, ok bool) {
 	for _, r := range b.services[s] {
-		if !b.eligible(r) || slices.Contains(excluded, r.instance.ID) {
+		if !b.eligible(r) || slices.Contains(excluded, r.instance.ID) || !group.has(&r.instance) {
 			continue
 		}
 		until := r.pausedUntil()
--- a/route.go
+++ b/route.go
@@ -12,6 +12,9 @@
 // it.
 type InstanceID string
 
+// SoftwareVersion names a version of the software of backend servers.
+type SoftwareVersion string
+
 // ServiceWeight is the weight of one service in a traffic split.
 type ServiceWeight struct {
 	Service ServiceName
@@ -73,8 +76,37 @@
 	// the time of the call.
 	ColdRemaining time.Duration
 	StartUnixMs   int64 // start of the process, Unix milliseconds; 0: unknown
+	// Software is the version of the software; "" if the server states none.
+	Software SoftwareVersion
+}
+
+// RolloutOrder is an operator's order to move the traffic of a service to the replicas of
+// a version.
+type RolloutOrder struct {
+	Service  ServiceName
+	Target   SoftwareVersion
+	Duration time.Duration // from the write of the order to the deadline
+	Version  Version       // of the object that holds the order
+	Status   RolloutStatus
+}
+
+// RolloutStatus is what the tier reports to the operator about an order.
+type RolloutStatus struct {
+	State  RolloutState
+	Target SoftwareVersion
 }
 
+// RolloutState is the state of an order in its status.
+type RolloutState uint8
+
+// States of an order. The zero value means that no status was written.
+const (
+	RolloutNone RolloutState = iota
+	RolloutRunning
+	RolloutCompleted
+	RolloutRolledBack
+)
+
 // EdgeMember is a VM that serves callers, as its registration describes it.
 type EdgeMember struct {
 	VM     VMName
@@ -87,6 +119,9 @@
 	// ShortForm reports that the VM reads heartbeats in their short form (dgpresence V6).
 	// VMs of earlier versions do not.
 	ShortForm bool `json:",omitempty"`
+	// Rollouts reports that the VM takes part in rollouts and reads heartbeats with the
+	// versions of KindRollouts and KindRolloutStates.
+	Rollouts bool `json:",omitempty"`
 }
 
 // Kinds of control state that an EdgeStore holds.
@@ -95,6 +130,11 @@
 	KindInstances = "instances" // registrations of backend servers
 	KindZonesOut  = "zonesout"  // availability zones that operators took out of service
 	KindMembers   = "members"   // registrations of VMs
+	// KindRollouts holds the orders of operators, one object for each service. It is
+	// followed only if rollouts are on.
+	KindRollouts = "rollouts"
+	// KindRolloutStates holds the state of the rollout of each order (dgrollout.State).
+	KindRolloutStates = "rolloutstates"
 )
 
 // EdgeStore is an ObjectStore that holds the control state of the VMs that forward
