--- a/route.go
+++ b/route.go
@@ -148,4 +148,10 @@
 	DecodeRoutes(o Object) (*RouteConfig, error)
 	// DecodeInstance decodes an object of KindInstances. Its error wraps ErrInvalid.
 	DecodeInstance(o Object) (Instance, error)
+	// DecodeRollout decodes an object of KindRollouts. Its error wraps ErrInvalid; the
+	// order then has the fields that could be read, Version and Service always among them.
+	DecodeRollout(o Object) (RolloutOrder, error)
+	// PutRolloutStatus replaces the status of an object of KindRollouts if its version is
+	// that of o, and returns the new version. Its errors are those of Put.
+	PutRolloutStatus(ctx context.Context, o Object, status RolloutStatus) (Version, error)
 }
