Carry out rollouts in the edge daemon

dgrollout decided, but nothing followed the orders, counted evidence or wrote states.

With a canary share in its settings the daemon follows two more kinds, restricts each attempt to the groups of replicas that dgrollout permits, counts how attempts end, and sends the counts to the leading VM, the first hub by rank that takes part. That VM writes the state of the rollout and then the status of the order, both by conditional writes. A VM counts as having news (X4) while the heartbeats of a leading VM arrive whose calls to the store succeed, or the store answers itself, so that no further messages are needed for it. Without the setting nothing is read, sent or restricted; messages between VMs are as before. Heartbeats carry the versions of the two kinds in an extended short form, only to VMs whose registration says that they read it, and in each message only while a rollout is open or shortly after a change.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -92,6 +92,7 @@
 	// dgwatch.ReaderCount VMs report that their calls to the store fail (dgwatch W2).
 	readersFailing  bool
 	shortWaitsUntil atomic.Int64 // Instant until which watches use baseWatchWait
+	rollouts        rolloutControl
 	settlingUntil   atomic.Int64 // Instant at which settlePeriod ends after an outage
 
 	membersKnown chan struct{} // closed when the registered VMs were listed first
@@ -140,7 +141,7 @@
 // run executes the control goroutine and starts the followers. It returns after close,
 // when they have ended.
 func (c *control) run() {
-	for _, kind := range kinds {
+	for _, kind := range c.e.kinds() {
 		f := &follower{c: c, kind: kind, hint: make(chan struct{}, 1)}
 		c.followers[kind] = f
 		c.wg.Go(f.run)
@@ -219,6 +220,10 @@
 		c.applyZones(b)
 	case dandeliongap.KindMembers:
 		c.applyMembers(now, b)
+	case dandeliongap.KindRollouts:
+		c.applyRollouts(now, b)
+	case dandeliongap.KindRolloutStates:
+		c.applyRolloutStates(now, b)
 	}
 	first := !c.confirmed[b.kind] && !b.unconfirmed
 	c.confirmed[b.kind] = c.confirmed[b.kind] || first
@@ -254,13 +259,18 @@
 	} else {
 		replies, long := c.presence.Receive(now, *g.short)
 		for _, m := range replies {
-			c.sendDatagram(encodeShort(m), g.from)
+			if g.extended && c.e.rollouts != nil {
+				c.sendDatagram(encodeExtended(m), g.from)
+			} else {
+				c.sendDatagram(encodeShort(m), g.from)
+			}
 		}
 		if len(long) > 0 {
 			c.sendDatagram(c.pack(long), g.from)
 		}
 	}
 	c.hintFollowers(now)
+	c.applyReports(g)
 }
 
 // hintFollowers sends a hint to the followers of kinds of which other VMs have newer
@@ -312,6 +322,7 @@
 	}
 	delete(c.failingKinds, kind)
 	c.lastStoreAnswer = now
+	c.storeAnsweredRollouts(now, kind)
 }
 
 // propagate passes the control state to the balancer, the budget and the connection
@@ -333,7 +344,9 @@
 	}
 	e.mu.Lock()
 	e.balancer.Update(now, list, limits, c.zonesOut, c.sharers)
-	e.budget.SetShare(now, dgroster.AllowanceShare(e.opt.Settings.VM, c.nominal, c.memberCount))
+	share := dgroster.AllowanceShare(e.opt.Settings.VM, c.nominal, c.memberCount)
+	e.budget.SetShare(now, share)
+	e.updateRollouts(now, list, share)
 	e.mu.Unlock()
 	e.forward.Retain(ids)
 	c.publish()
@@ -344,7 +357,7 @@
 	e, now := c.e, c.e.now()
 	v := &view{table: c.table}
 	v.ready = c.table != nil
-	for _, kind := range kinds {
+	for _, kind := range e.kinds() {
 		v.ready = v.ready && c.confirmed[kind]
 	}
 	v.stale = c.failingKinds[dandeliongap.KindRoutes] || c.readersFailing || now.Sub(c.lastStoreAnswer) > storeStaleAfter
@@ -371,6 +384,7 @@
 	c.sendHeartbeats()
 	c.updateRoster(now)
 	c.hintFollowers(now)
+	c.tickRollouts(now)
 	if !slices.Equal(c.sharers, dgroster.ConnectionSharers(c.onRoster, c.nominal)) {
 		c.propagate()
 	} else {
--- a/dgedge/doc.go
+++ b/dgedge/doc.go
@@ -1,7 +1,7 @@
 // Package dgedge implements the daemon of a tier whose VMs route requests
 // themselves: each VM forwards to the backend servers directly. The decisions are
 // made by the packages dgroute, dggather, dgbalance, dgbudget, dgcatalog,
-// dgpresence, dgwatch and dgadmit; dgedge does the I/O for them.
+// dgpresence, dgwatch, dgrollout and dgadmit; dgedge does the I/O for them.
 //
 // One goroutine owns the control state. It applies updates from the store and from
 // other VMs and publishes an immutable view. Request goroutines read that view and
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -15,6 +15,7 @@
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dgbudget"
 	"dandeliongap.example/dandeliongap/dghttp"
+	"dandeliongap.example/dandeliongap/dgrollout"
 	"dandeliongap.example/dandeliongap/dgroute"
 	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/gravitational/trace"
@@ -54,9 +55,10 @@
 
 	forward *dgbackend.Forwarder
 
-	mu       sync.Mutex // guards balancer and budget, and the split state of routing tables
+	mu       sync.Mutex // guards balancer, budget and rollouts, and the split state of routing tables
 	balancer *dgbalance.Balancer
 	budget   *dgbudget.Budget
+	rollouts *dgrollout.Local // nil: rollouts are off
 
 	latestSettings atomic.Pointer[Settings] // see Reload for those that take effect without a restart
 	view           atomic.Pointer[view]
@@ -100,6 +102,9 @@
 	e.budget = dgbudget.New(dgbudget.Options{
 		Ratio: o.Settings.RetryRatio, Slack: o.Settings.RetrySlack, Window: o.Settings.RetryWindow, InitialStart: o.Settings.FirstStart,
 	})
+	if o.Settings.RolloutShare > 0 {
+		e.rollouts = dgrollout.NewLocal(dgrollout.Limits{Share: o.Settings.RolloutShare, Slack: o.Settings.RolloutSlack, Rollback: o.Settings.RollbackLimit})
+	}
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
@@ -220,7 +225,7 @@
 }
 
 // Reload applies new settings. The addresses, the names of the VM and its availability
-// zone, and the retry window keep their values from Start. If the new values differ from
+// zone, the retry window and the limits of rollouts keep their values from Start. If the new values differ from
 // these, the log line says that a restart is needed.
 func (e *Edge) Reload(s Settings) {
 	old := e.latestSettings.Swap(&s)
@@ -229,7 +234,8 @@
 	e.mu.Unlock()
 	fixed := e.opt.Settings
 	restart := s.VM != fixed.VM || s.Zone != fixed.Zone || s.EntryListen != fixed.EntryListen || s.ReadyListen != fixed.ReadyListen || s.DirectoryListen != fixed.DirectoryListen ||
-		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow
+		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow ||
+		s.RolloutShare != fixed.RolloutShare || s.RolloutSlack != fixed.RolloutSlack || s.RollbackLimit != fixed.RollbackLimit
 	e.log.event("reload").Bool("Changed", *old != s).Bool("NeedsRestart", restart).
 		Float64("RetryRatio", s.RetryRatio).Float64("RetrySlack", s.RetrySlack).Dur("ShutdownLimit", s.ShutdownLimit).Send()
 }
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -88,6 +88,9 @@
 	dandeliongap.KindInstances: 450 * time.Millisecond,
 	dandeliongap.KindZonesOut:  60 * time.Millisecond,
 	dandeliongap.KindMembers:   200 * time.Millisecond,
+
+	dandeliongap.KindRollouts:      60 * time.Millisecond,
+	dandeliongap.KindRolloutStates: 60 * time.Millisecond,
 }
 
 // follower keeps the state of one kind of objects up to date: it reads a full list,
@@ -305,7 +308,7 @@
 	if f.since == 0 {
 		return f.list()
 	}
-	wait := f.c.watchWait()
+	wait := f.c.rolloutWait(f.kind, f.c.watchWait())
 	select {
 	case <-f.hint:
 		if f.failures > 0 {
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -39,7 +39,9 @@
 // longForm is the content of a datagram with heartbeats in their long form: compressed
 // JSON, which VMs of all versions read.
 type longForm struct {
-	Beats []dgpresence.Heartbeat
+	Beats []dgpresence.Heartbeat `json:",omitempty"`
+	// Rollouts are about the evidence in rollouts. VMs of earlier versions get none.
+	Rollouts []rolloutReport `json:",omitempty"`
 }
 
 // packer encodes and compresses heartbeats in their long form. Its zero value is ready for use.
@@ -50,6 +52,10 @@
 
 // pack returns the datagram with heartbeats. It is valid until the next call.
 func (p *packer) pack(heartbeats []dgpresence.Heartbeat) ([]byte, error) {
+	return p.packLong(longForm{Beats: heartbeats})
+}
+
+func (p *packer) packLong(l longForm) ([]byte, error) {
 	p.b.Reset()
 	if p.w == nil {
 		w, err := flate.NewWriter(&p.b, flate.BestSpeed)
@@ -60,7 +66,7 @@
 	} else {
 		p.w.Reset(&p.b)
 	}
-	if err := json.NewEncoder(p.w).Encode(longForm{heartbeats}); err != nil {
+	if err := json.NewEncoder(p.w).Encode(l); err != nil {
 		return nil, err
 	}
 	err := p.w.Close()
@@ -72,15 +78,19 @@
 type unpacker struct{ r io.ReadCloser }
 
 func (u *unpacker) unpack(datagram []byte) ([]dgpresence.Heartbeat, error) {
+	l, err := u.unpackLong(datagram)
+	return l.Beats, err
+}
+
+func (u *unpacker) unpackLong(datagram []byte) (l longForm, err error) {
 	src := bytes.NewReader(datagram)
 	if u.r == nil {
 		u.r = flate.NewReader(src)
 	} else if err := u.r.(flate.Resetter).Reset(src, nil); err != nil {
-		return nil, err
+		return l, err
 	}
-	var l longForm
-	err := json.NewDecoder(io.LimitReader(u.r, maxUnpackedBytes)).Decode(&l)
-	return l.Beats, err
+	err = json.NewDecoder(io.LimitReader(u.r, maxUnpackedBytes)).Decode(&l)
+	return l, err
 }
 
 // receiveHeartbeats passes the heartbeats of other VMs to the control goroutine
@@ -99,9 +109,12 @@
 		}
 		var g gossip
 		if isShort(buf[:n]) {
+			g.extended = isExtended(buf[:n])
 			g.short, err = decodeShort(buf[:n])
 		} else {
-			g.long, err = u.unpack(buf[:n])
+			var l longForm
+			l, err = u.unpackLong(buf[:n])
+			g.long, g.reports = l.Beats, l.Rollouts
 		}
 		if err != nil {
 			c.e.stats.add("GossipUnreadable")
@@ -121,9 +134,11 @@
 
 // gossip is the content of a datagram, in one of the two forms, and its sender.
 type gossip struct {
-	short *dgpresence.Message // nil: long holds the content
-	long  []dgpresence.Heartbeat
-	from  netip.AddrPort
+	short    *dgpresence.Message // nil: long holds the content
+	extended bool                // short was encoded by encodeExtended
+	long     []dgpresence.Heartbeat
+	reports  []rolloutReport
+	from     netip.AddrPort
 }
 
 // sendHeartbeats sends the heartbeats of a hub to the hubs that dgpresence selects. A VM
@@ -147,9 +162,9 @@
 		}
 	}
 	if !standby {
-		short := encodeShort(c.presence.Beat(now))
-		for _, m := range dgpresence.SelectPeers(c.rng, c.e.opt.Settings.Zone, hubs) {
-			c.sendTo(m, short, heartbeats)
+		beat := c.presence.Beat(now)
+		for _, m := range c.withLeader(dgpresence.SelectPeers(c.rng, c.e.opt.Settings.Zone, hubs)) {
+			c.sendTo(m, c.encodeFor(m, beat), heartbeats)
 		}
 		return
 	}
@@ -158,7 +173,7 @@
 	}
 	if hub, ok := dgpresence.SelectHub(c.questions+c.placeInZone(), c.e.opt.Settings.Zone, hubs); ok {
 		c.questions++
-		c.sendTo(hub, encodeShort(c.presence.Question(now)), heartbeats[:1])
+		c.sendTo(hub, c.encodeFor(hub, c.presence.Question(now)), heartbeats[:1])
 	}
 }
 
--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -130,7 +130,7 @@
 // again whenever applyMembers finds that it is missing.
 func (c *control) keepRegistered() {
 	s := c.e.opt.Settings
-	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot, Cores: s.Cores, ShortForm: true})
+	body, err := json.Marshal(dandeliongap.EdgeMember{VM: s.VM, Zone: s.Zone, Entry: s.EntryListen, Gossip: s.GossipListen, Boot: c.e.boot, Cores: s.Cores, ShortForm: true, Rollouts: c.e.rollouts != nil})
 	if err != nil {
 		c.e.log.event("registration failed").Err(err).Send()
 		return
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -32,7 +32,7 @@
 func (e *Edge) handleChanges(ctx *fasthttp.RequestCtx) {
 	kind := string(ctx.QueryArgs().Peek("Kind"))
 	since, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("Since")), 10, 64)
-	if string(ctx.Path()) != changesPath || err != nil || !slices.Contains(kinds, kind) {
+	if string(ctx.Path()) != changesPath || err != nil || !slices.Contains(e.kinds(), kind) {
 		ctx.Error("want "+changesPath+"?Kind=KIND&Since=VERSION", http.StatusBadRequest)
 		return
 	}
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -142,7 +142,7 @@
 		ex.gather.AttemptNotStarted(s.Shard, now.Add(budgetRetryDelay))
 		return
 	}
-	assignment, retryAt, err := e.balancer.Pick(now, ex.req.route.Name, service, ex.gather.ExcludedReplicas(s.Shard), ex.gather.FailedReplicas(s.Shard))
+	assignment, retryAt, err := e.balancer.PickAmong(now, ex.req.route.Name, service, e.rolloutGroups(now, service, s.Extra), ex.gather.ExcludedReplicas(s.Shard), ex.gather.FailedReplicas(s.Shard))
 	switch {
 	case err != nil && s.Extra:
 		e.budget.Release(now, service)
@@ -150,6 +150,9 @@
 		ex.firstCounted[s.Shard] = true
 		e.budget.CountFirst(now, service)
 	}
+	if err == nil {
+		e.rolloutSent(&assignment.Instance)
+	}
 	e.mu.Unlock()
 	if err != nil {
 		ex.gather.AttemptNotStarted(s.Shard, retryAt)
@@ -182,7 +185,9 @@
 	now := e.now()
 	e.mu.Lock()
 	hint := e.balancer.Heed(now, &a.assignment.Instance, dgbalance.Hints{Leaving: reply.Leaving, RetryAfter: reply.RetryAfter})
-	change := e.balancer.Done(now, ex.req.route.Name, &a.assignment, ex.classify(&reply, now))
+	outcome := ex.classify(&reply, now)
+	change := e.balancer.Done(now, ex.req.route.Name, &a.assignment, outcome)
+	ex.rolloutEnded(now, a, &reply, outcome)
 	if reply.Kind == dgbackend.ReplyNotSent && a.extra {
 		e.budget.Release(a.assignment.Start, ex.req.shards[a.shard])
 	}
--- a/dgedge/settings.go
+++ b/dgedge/settings.go
@@ -28,6 +28,9 @@
 	MaxDirectoryTTL time.Duration // upper bound of the TTL in directory responses
 	RetryRatio      float64       // extra requests (retries and hedges) allowed per first request
 	RetrySlack      float64       // additional extra requests allowed per RetryWindow, for all VMs together
+	RolloutShare    float64       // of the requests to a service, to the target of a rollout; 0: rollouts are off
+	RolloutSlack    float64       // additional requests to the target, for all VMs together
+	RollbackLimit   time.Duration // time after which no VM sends to a bad target any more; 0: not limited
 	RetryWindow     time.Duration // sliding window in which RetryRatio and RetrySlack limit the extra requests
 }
 
@@ -60,6 +63,15 @@
 			s.Cores *= r.ratio("core share")
 		}
 	}
+	if r.isSet("canary share") {
+		s.RolloutShare = r.ratio("canary share")
+	}
+	if r.isSet("canary slack") {
+		s.RolloutSlack = r.number("canary slack")
+	}
+	if r.isSet("rollback limit ms") {
+		s.RollbackLimit = time.Duration(r.number("rollback limit ms") * float64(time.Millisecond))
+	}
 	if r.section.HasKey("metrics listen") {
 		s.MetricsListen = r.address("metrics listen")
 	}
@@ -80,6 +92,9 @@
 	r.errs = append(r.errs, fmt.Errorf("key %q has %q, want %s", key, r.section.Key(key).String(), want))
 }
 
+// isSet reports whether a key that may be left out or empty has a value.
+func (r *sectionReader) isSet(key string) bool { return r.section.Key(key).String() != "" }
+
 func (r *sectionReader) text(key string) string {
 	v := r.section.Key(key).String()
 	if v == "" {
--- a/dgedge/short.go
+++ b/dgedge/short.go
@@ -18,6 +18,10 @@
 	shortKindShift = 3
 )
 
+// extendedMark in the first byte tells that the message has the versions of the kinds of
+// rollouts too. It is sent only to VMs whose registration says that they read it.
+const extendedMark = 0x80
+
 // errShort means that a datagram is no message in short form.
 var errShort = errors.New("malformed message in short form")
 
@@ -35,8 +39,17 @@
 // followed by, for a Beat and an Answer, the version of the newest change of each of kinds
 // as a varint and five bytes for each hub; for a Question, the digest in four bytes; for a
 // NameRequest, three bytes for each process. Numbers are little-endian.
-func encodeShort(m dgpresence.Message) []byte {
-	b := []byte{shortMark | byte(m.Kind)<<shortKindShift}
+func encodeShort(m dgpresence.Message) []byte { return encodeWith(m, kinds, 0) }
+
+// encodeExtended encodes a message in short form with the versions of the kinds of rollouts
+// after those of kinds.
+func encodeExtended(m dgpresence.Message) []byte { return encodeWith(m, extendedKinds, extendedMark) }
+
+// isExtended reports whether a message in short form was encoded by encodeExtended.
+func isExtended(datagram []byte) bool { return datagram[0]&extendedMark != 0 }
+
+func encodeWith(m dgpresence.Message, kinds []string, mark byte) []byte {
+	b := []byte{mark | shortMark | byte(m.Kind)<<shortKindShift}
 	b = append(b, m.Process[:]...)
 	b = append(b, byte(m.Status))
 	b = binary.AppendUvarint(b, m.Count)
@@ -60,7 +73,11 @@
 
 // decodeShort decodes a datagram for which isShort holds. Its error wraps errShort.
 func decodeShort(datagram []byte) (*dgpresence.Message, error) {
-	m := &dgpresence.Message{Kind: dgpresence.MessageKind(datagram[0] >> shortKindShift)}
+	kinds := kinds
+	if isExtended(datagram) {
+		kinds = extendedKinds
+	}
+	m := &dgpresence.Message{Kind: dgpresence.MessageKind(datagram[0] &^ extendedMark >> shortKindShift)}
 	if datagram[0]&(1<<shortKindShift-1) != shortMark || !m.Kind.Valid() {
 		return nil, fmt.Errorf("%w: first byte %#x", errShort, datagram[0])
 	}
--- a/dgrollout/dgrollout.go
+++ b/dgrollout/dgrollout.go
@@ -17,7 +17,7 @@
 //	    of Limits.Slack. The slack becomes available gradually once a replica of the target
 //	    is no longer cold. This bounds the exposure of all VMs together without
 //	    communication. Retries and hedges go to the old versions.
-//	X4  A VM that has received nothing newer for FreshFor, from the store or from the
+//	X4  A VM that has received nothing newer for FreshFor (at most half of Limits.Rollback), from the store or from the
 //	    leading VM, sends nothing to the target while the order is open.
 //	X5  Canary requests come in cycles. For one third of a cycle they are sent as the
 //	    permits come in, for one third the permits are saved, and in the last third they
@@ -87,6 +87,8 @@
 type Limits struct {
 	Share float64 // of the requests to the service; 0: rollouts are off
 	Slack float64 // additional requests, of all VMs together
+	// Rollback is the time after which no VM sends to a bad target any more; 0: not limited.
+	Rollback time.Duration
 }
 
 // Stage is the stage of a rollout.
--- a/dgrollout/lead.go
+++ b/dgrollout/lead.go
@@ -28,6 +28,9 @@
 // The rest is for the time until a version is rolled back that becomes bad in them.
 const usableExposure = 0.75
 
+// maxRows limits the groups of one VM: 64 routes, 16 replicas and 4 stages.
+const maxRows = 4096
+
 // process identifies a process of a VM, whose counts begin at zero.
 type process struct {
 	vm   dandeliongap.VMName
@@ -66,6 +69,9 @@
 		l.counts[p] = counts
 	}
 	for _, r := range rows {
+		if len(counts) >= maxRows {
+			break
+		}
 		counts[r.Key] = counts[r.Key].max(r.Counts)
 	}
 }
@@ -170,5 +176,19 @@
 // Bad reports whether the evidence shows that the target is bad.
 func (l *Lead) Bad() bool { return l.found || l.test.Bad() }
 
+// Counts returns the sums of all counts received, of the old versions and of the target.
+func (l *Lead) Counts() (old, target Counts) {
+	for _, counts := range l.counts {
+		for k, c := range counts {
+			if k.New {
+				target = target.add(c)
+			} else {
+				old = old.add(c)
+			}
+		}
+	}
+	return old, target
+}
+
 // Evidence returns that of the test.
 func (l *Lead) Evidence() (against, total [2]float64) { return l.test.Evidence() }
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -67,6 +67,7 @@
 	pauses    map[dandeliongap.InstanceID]dandeliongap.Instant // start of the last request that was slow and counted
 	targets   []dandeliongap.InstanceID                        // replicas of the target, sorted
 	warmAt    dandeliongap.Instant                             // when the first of them is no longer cold
+	resting   []dgbalance.Group                                // those of a request while no order is open
 	hasOthers bool                                             // there are replicas of other versions
 }
 
@@ -85,13 +86,22 @@
 	return &Local{limits: limits, services: make(map[dandeliongap.ServiceName]*followed)}
 }
 
+// Limits returns the limits.
+func (l *Local) Limits() Limits { return l.limits }
+
 // SetShare sets the share of the common slack that this VM has (dgroster.AllowanceShare).
 func (l *Local) SetShare(share float64) { l.share = share }
 
 // SetNews records when something newer was received from the store or the leading VM (X4).
 func (l *Local) SetNews(at dandeliongap.Instant) { l.news = max(l.news, at) }
 
-func (l *Local) fresh(now dandeliongap.Instant) bool { return now.Sub(l.news) <= FreshFor }
+func (l *Local) fresh(now dandeliongap.Instant) bool {
+	limit := FreshFor
+	if l.limits.Rollback > 0 {
+		limit = min(limit, l.limits.Rollback/2)
+	}
+	return now.Sub(l.news) <= limit
+}
 
 func (l *Local) service(name dandeliongap.ServiceName) *followed {
 	s := l.services[name]
@@ -132,6 +142,7 @@
 		}
 	}
 	s.targets, s.hasOthers = nil, false
+	defer s.updateResting()
 	if s.order.Target == "" {
 		return
 	}
@@ -150,6 +161,12 @@
 	slices.Sort(s.targets)
 }
 
+// updateResting works out the groups of a request while no order is open.
+func (s *followed) updateResting() {
+	rolledBack := s.order.Target != "" && s.order.Status.State != dandeliongap.RolloutCompleted
+	s.resting = s.oldGroups(rolledBack, true)
+}
+
 // SetOrder sets the newest order of a service. An order with an object version that is not
 // newer is ignored. It reports whether the order is open and was not known before.
 func (l *Local) SetOrder(now dandeliongap.Instant, o dandeliongap.RolloutOrder) (begins bool) {
@@ -214,13 +231,11 @@
 	if s == nil {
 		return nil
 	}
-	if s.order.Target == "" {
-		return s.oldGroups(false, extra)
+	if !s.open {
+		return s.resting
 	}
 	target := []dandeliongap.SoftwareVersion{s.order.Target}
 	switch {
-	case !s.open:
-		return s.oldGroups(s.order.Status.State != dandeliongap.RolloutCompleted, extra)
 	case s.stage == Completed:
 		return []dgbalance.Group{{Only: target}}
 	case s.bad || s.stage == RolledBack || !l.fresh(now):
@@ -282,11 +297,12 @@
 	return s.targets[int(elapsed/cycle)%len(s.targets)]
 }
 
-// Sent records that a request is sent to a replica.
-func (l *Local) Sent(in *dandeliongap.Instance) {
+// Sent records that a request is sent to a replica. It reports whether this is one of the
+// target of an open order.
+func (l *Local) Sent(in *dandeliongap.Instance) (toTarget bool) {
 	s := l.services[in.Service]
 	if s == nil || !s.open {
-		return
+		return false
 	}
 	s.sent++
 	s.credit = min(1, s.credit+s.stage.share())
@@ -300,6 +316,7 @@
 	case len(s.control) > 0:
 		s.control = s.control[1:]
 	}
+	return in.Software == s.order.Target
 }
 
 // NotSent records that a request did not reach its replica, after Sent.
--- a/dgrollout/tier_test.go
+++ b/dgrollout/tier_test.go
@@ -18,9 +18,9 @@
 	oldVersion  = dandeliongap.SoftwareVersion("v1")
 	newVersion  = dandeliongap.SoftwareVersion("v2")
 	routeTime   = 2 * time.Second // longest request
-	boundShare  = 0.1             // CanaryShare of the platform
-	boundSlack  = 50.0            // CanarySlack of the platform
-	rollbackMax = 5 * time.Second // RollbackMs of the platform
+	boundShare  = 0.1             // of the page
+	boundSlack  = 50.0            // of the page
+	rollbackMax = 5 * time.Second // of the page
 )
 
 var limits = dgrollout.Limits{Share: boundShare, Slack: boundSlack}
--- a/dgwatch/dgwatch.go
+++ b/dgwatch/dgwatch.go
@@ -83,6 +83,16 @@
 	return len(first) > 0 && !slices.ContainsFunc(first, func(p Peer) bool { return !p.StoreFailing })
 }
 
+// First returns the VM that comes first by rank, "" if there is none.
+func First(vms []dandeliongap.VMName) (first dandeliongap.VMName) {
+	for _, vm := range vms {
+		if first == "" || cmp.Or(cmp.Compare(rank(vm), rank(first)), cmp.Compare(vm, first)) < 0 {
+			first = vm
+		}
+	}
+	return first
+}
+
 // byRank returns the VMs in rank order, which is the same on every VM.
 func byRank(present []Peer) []Peer {
 	ranked := slices.Clone(present)
