Enforce the quotas of accounts over all VMs

Cause: dgquota decided about quotas, but no VM asked it.

Change: a request of a limited account to a route that is not public takes a token after all other checks. If its VM has none, the request waits for the owner's answer for at most 30 ms and a tenth of the objective of its route, without a lock. Owners follow from the registrations and from which hubs accept callers. A request that no backend server ran returns its token. dgadmit A12 refuses a request above the quota with 429, A13 one whose quota is not known in time with 503. The settings for quotas are optional; an empty value is not set. An owner keeps the ownership of a bucket until the hubs change, and the test of a lowered limit checks all windows that begin after the time to apply a configuration.

--- a/dgaccount/dgaccount_test.go
+++ b/dgaccount/dgaccount_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -116,3 +118,59 @@
 		t.Error("a request is refused although there are no accounts")
 	}
 }
+
+// TestMemory guards against accounts that do not fit into the memory for control state, with
+// two keys each.
+func TestMemory(t *testing.T) {
+	const maxControlMemory = 128 << 20
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, n := range []int{1000, 3000, 10000} {
+		accounts := make([]dandeliongap.Account, n)
+		for i := range accounts {
+			accounts[i] = dandeliongap.Account{Name: dandeliongap.AccountName(fmt.Sprint("account-", i)), Keys: []string{fmt.Sprint("a", i), fmt.Sprint("b", i)}, Rate: 1, Burst: 2}
+		}
+		before := heap()
+		book, err := dgaccount.New(accounts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := heap() - before
+		t.Logf("%d accounts with two keys each: %.2f MB", n, float64(size)/1e6)
+		if size > maxControlMemory {
+			t.Errorf("%d accounts take %d bytes, want at most %d", n, size, maxControlMemory)
+		}
+		runtime.KeepAlive(book)
+		runtime.KeepAlive(accounts)
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	accounts := make([]dandeliongap.Account, 10000)
+	for i := range accounts {
+		accounts[i] = dandeliongap.Account{Name: dandeliongap.AccountName(fmt.Sprint("account-", i)), Keys: []string{fmt.Sprint("key-", i)}}
+	}
+	book, err := dgaccount.New(accounts)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; b.Loop(); i++ {
+		book.Check(dgaccount.Parse([]string{"Bearer key-" + fmt.Sprint(i%10000)}), false)
+	}
+}
+
+func BenchmarkNew(b *testing.B) {
+	accounts := make([]dandeliongap.Account, 10000)
+	for i := range accounts {
+		accounts[i] = dandeliongap.Account{Name: dandeliongap.AccountName(fmt.Sprint("account-", i)), Keys: []string{fmt.Sprint("key-", i)}}
+	}
+	for b.Loop() {
+		if _, err := dgaccount.New(accounts); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -38,6 +38,10 @@
 //	A11 A request to a route that is not public, without a key of an account, is refused
 //	    permanently. A VM whose store is unavailable refuses an unknown key temporarily
 //	    instead, because a newer configuration may have it.
+//	A12 A request above the quota of its account is refused until there is room again
+//	    (dgquota).
+//	A13 A request is refused temporarily if it cannot be found out in time whether the
+//	    quota of its account has room: another VM may know.
 package dgadmit
 
 import (
@@ -99,6 +103,16 @@
 	return Refusal{http.StatusUnauthorized, "A11", "UnknownKey", "no account has this key", 0}
 }
 
+// OverQuota refuses a request under A12. There is room after retryAfter.
+func OverQuota(retryAfter time.Duration) Refusal {
+	return Refusal{http.StatusTooManyRequests, "A12", "OverQuota", "not run: the quota of the account is used up", retryAfter}
+}
+
+// QuotaUnknown refuses a request under A13.
+func QuotaUnknown(retryAfter time.Duration) Refusal {
+	return Refusal{http.StatusServiceUnavailable, "A13", "QuotaUnknown", "not run: it is not known whether the quota of the account has room", retryAfter}
+}
+
 // Leaving refuses a request under A3.
 func Leaving() Refusal {
 	return Refusal{http.StatusServiceUnavailable, "A3", "Leaving", "not run: this VM is leaving", leavingRetry}
--- a/dgadmit/dgadmit_test.go
+++ b/dgadmit/dgadmit_test.go
@@ -39,6 +39,19 @@
 		Expect(r.NotBefore(nil, 17, 20, 0.89).RetryAfter).To(Equal(r.RetryAfter))
 		Expect(r.NotBefore([]time.Duration{time.Millisecond}, 17, 20, 0.89).RetryAfter).To(Equal(r.RetryAfter))
 	})
+	It("A11: refuse a key permanently only if the configuration is current, and never a missing one temporarily (otherwise callers would give up a key that is new, or repeat requests that no VM accepts)", func() {
+		Expect(dgadmit.UnknownKey(false).Status).To(Equal(401))
+		Expect(dgadmit.UnknownKey(true).Status).To(Equal(503))
+		Expect(dgadmit.UnknownKey(true).RetryAfter).To(BeNumerically(">", 0))
+		Expect(dgadmit.NoKey().Status).To(Equal(401))
+		Expect(dgadmit.NoKey().RetryAfter).To(BeZero())
+	})
+	It("A12, A13: tell a quota that is used up from one that is not known, with the time of the next room (otherwise callers would wait although another VM can serve them)", func() {
+		Expect(dgadmit.OverQuota(time.Second).Status).To(Equal(429))
+		Expect(dgadmit.OverQuota(time.Second).RetryAfter).To(Equal(time.Second))
+		Expect(dgadmit.QuotaUnknown(time.Second).Status).To(Equal(503))
+		Expect(dgadmit.QuotaUnknown(time.Second).RetryAfter).To(Equal(time.Second))
+	})
 	It("A1: set a longer Retry-After in a longer outage (otherwise callers would spend their only retry within it)", func() {
 		Expect(dgadmit.Unready(0).RetryAfter).To(Equal(200 * time.Millisecond))
 		Expect(dgadmit.Unready(time.Second).RetryAfter).To(Equal(time.Second))
--- a/dgedge/account.go
+++ b/dgedge/account.go
@@ -5,6 +5,7 @@
 
 	"dandeliongap.example/dandeliongap/dgaccount"
 	"dandeliongap.example/dandeliongap/dgadmit"
+	"dandeliongap.example/dandeliongap/dgquota"
 	"github.com/valyala/fasthttp"
 )
 
@@ -31,6 +32,9 @@
 	}
 	if a != nil {
 		r.account = a.Name
+		if !r.route.Public {
+			r.limit = dgquota.Limit{Rate: a.Rate, Burst: a.Burst}
+		}
 	}
 	r.priority = dgaccount.Priority(a, r.route)
 	return dgadmit.Refusal{}
--- a/dgedge/apply.go
+++ b/dgedge/apply.go
@@ -34,6 +34,7 @@
 	t.InheritSplitState(c.table)
 	c.e.mu.Unlock()
 	c.table, c.accounts = t, accounts
+	c.e.quotas.setBook(c.e.now(), accounts)
 	c.e.log.event("configuration in force").Uint64("Version", uint64(cfg.Version)).Uint64("Number", cfg.Number).
 		Int("Routes", len(cfg.Routes)).Int("Services", len(cfg.Services)).Int("Accounts", accounts.Len()).Send()
 }
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -132,6 +132,7 @@
 		answered:      make(chan struct{}),
 		membersKnown:  make(chan struct{}),
 	}
+	e.quotas.send = c.sendDatagram
 	c.listenGossip()
 	return c
 }
@@ -373,6 +374,7 @@
 	c.sendHeartbeats()
 	c.updateRoster(now)
 	c.hintFollowers(now)
+	c.e.quotas.tick(now)
 	if !slices.Equal(c.sharers, dgroster.ConnectionSharers(c.onRoster, c.nominal)) {
 		c.propagate()
 	} else {
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -60,6 +60,8 @@
 	balancer *dgbalance.Balancer
 	budget   *dgbudget.Budget
 
+	quotas *quotas
+
 	latestSettings atomic.Pointer[Settings] // see Reload for those that take effect without a restart
 	view           atomic.Pointer[view]
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
@@ -103,6 +105,7 @@
 	e.budget = dgbudget.New(dgbudget.Options{
 		Ratio: o.Settings.RetryRatio, Slack: o.Settings.RetrySlack, Window: o.Settings.RetryWindow, InitialStart: o.Settings.FirstStart,
 	})
+	e.quotas = newQuotas(e)
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
@@ -223,7 +226,7 @@
 }
 
 // Reload applies new settings. The addresses, the names of the VM and its availability
-// zone, and the retry window keep their values from Start. If the new values differ from
+// zone, the retry window and the bounds of quotas keep their values from Start. If the new values differ from
 // these, the log line says that a restart is needed.
 func (e *Edge) Reload(s Settings) {
 	old := e.latestSettings.Swap(&s)
@@ -232,8 +235,9 @@
 	e.mu.Unlock()
 	fixed := e.opt.Settings
 	restart := s.VM != fixed.VM || s.Zone != fixed.Zone || s.EntryListen != fixed.EntryListen || s.ReadyListen != fixed.ReadyListen || s.DirectoryListen != fixed.DirectoryListen ||
-		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow
-	e.log.event("reload").Bool("Changed", *old != s).Bool("NeedsRestart", restart).
+		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow ||
+		!equalBounds(s.Quota, fixed.Quota)
+	e.log.event("reload").Bool("Changed", !old.equal(s)).Bool("NeedsRestart", restart).
 		Float64("RetryRatio", s.RetryRatio).Float64("RetrySlack", s.RetrySlack).Dur("ShutdownLimit", s.ShutdownLimit).Send()
 }
 
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -8,6 +8,7 @@
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgpresence"
+	"dandeliongap.example/dandeliongap/dgquota"
 )
 
 // WriteRequestLines writes n log lines about a request, in the form that a VM writes.
@@ -82,3 +83,29 @@
 	DecodeShort = decodeShort
 	ErrShort    = errShort
 )
+
+// Messages about quotas, for tests.
+var (
+	EncodeAsks = encodeAsks
+	ErrQuota   = errQuota
+)
+
+// EncodeGrant returns the datagram with a grant for an account.
+func EncodeGrant(name dandeliongap.AccountName, g dgquota.Grant) []byte {
+	return encodeGrants([]quotaAnswer{{accountIDOf(name), g}})
+}
+
+// DecodeQuota decodes a datagram about quotas. ok is false if it is another one.
+func DecodeQuota(datagram []byte) (asks []dgquota.Ask, grants []dgquota.Grant, ok bool, err error) {
+	if !isShort(datagram) || !isQuota(datagram) {
+		return nil, nil, false, nil
+	}
+	a, g, err := decodeQuota(datagram)
+	for _, x := range a {
+		asks = append(asks, x.ask)
+	}
+	for _, x := range g {
+		grants = append(grants, x.grant)
+	}
+	return asks, grants, true, err
+}
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -98,6 +98,13 @@
 			continue
 		}
 		var g gossip
+		if isShort(buf[:n]) && isQuota(buf[:n]) {
+			c.e.stats.addN("GossipBytesReceived", int64(n))
+			if c.e.quotas.receive(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) != nil {
+				c.e.stats.add("GossipUnreadable")
+			}
+			continue // requests wait for it, so that it does not queue behind heartbeats
+		}
 		if isShort(buf[:n]) {
 			g.short, err = decodeShort(buf[:n])
 		} else {
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -13,6 +13,7 @@
 	"dandeliongap.example/dandeliongap/dgadmit"
 	"dandeliongap.example/dandeliongap/dgbackend"
 	"dandeliongap.example/dandeliongap/dgbalance"
+	"dandeliongap.example/dandeliongap/dgquota"
 	"github.com/valyala/fasthttp"
 )
 
@@ -21,16 +22,20 @@
 
 // request is a request of a caller.
 type request struct {
-	id       string
-	route    *dandeliongap.Route
-	shards   []dandeliongap.ServiceName // the route's shards, or the one service selected for a route without shards
-	version  dandeliongap.Version       // of the configuration that the request uses
-	account  dandeliongap.AccountName   // empty: none
-	priority int                        // 0 is the highest
-	keyHash  string                     // identifies the key in log lines; empty: the request has none
-	arrived  dandeliongap.Instant
-	deadline dandeliongap.Instant
-	forward  *dgbackend.ForwardRequest // the request as replicas receive it
+	id        string
+	route     *dandeliongap.Route
+	shards    []dandeliongap.ServiceName // the route's shards, or the one service selected for a route without shards
+	version   dandeliongap.Version       // of the configuration that the request uses
+	account   dandeliongap.AccountName   // empty: none
+	priority  int                        // 0 is the highest
+	limit     dgquota.Limit              // quota of the account; its rate is 0 if the request needs no token
+	token     dgquota.Token              // if hasToken
+	hasToken  bool
+	quotaRule string // rule of dgquota that decided
+	keyHash   string // identifies the key in log lines; empty: the request has none
+	arrived   dandeliongap.Instant
+	deadline  dandeliongap.Instant
+	forward   *dgbackend.ForwardRequest // the request as replicas receive it
 }
 
 // sharded reports whether the response is merged from the parts of several shards.
@@ -67,6 +72,9 @@
 	if refusal.Status == 0 {
 		refusal = e.admit(req)
 	}
+	if refusal.Status == 0 { // last, so that no refused request takes a token
+		refusal = e.takeToken(req)
+	}
 	if refusal.Status != 0 {
 		e.refuse(ctx, req, refusal)
 		return
@@ -232,6 +240,9 @@
 	if req.keyHash != "" {
 		line = line.Str("KeyHash", req.keyHash)
 	}
+	if req.quotaRule != "" {
+		line = line.Str("QuotaRule", req.quotaRule).Float64("Rate", req.limit.Rate).Float64("Burst", req.limit.Burst)
+	}
 	line.Send()
 }
 
--- a/dgedge/roster.go
+++ b/dgedge/roster.go
@@ -1,10 +1,12 @@
 package dgedge
 
 import (
+	"net/netip"
 	"slices"
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgpresence"
+	"dandeliongap.example/dandeliongap/dgquota"
 	"dandeliongap.example/dandeliongap/dgroster"
 )
 
@@ -64,6 +66,35 @@
 	c.hubs = hubs
 	c.standby.Store(!slices.Contains(hubs, self.VM))
 	c.servingHub.Store(c.selectServingHub(now))
+	if c.e.quotas.active() {
+		c.updateQuotaTier(now, registered)
+	}
+}
+
+// updateQuotaTier tells the quotas which hubs may own accounts. These follow from the
+// registrations alone, unlike c.hubs, which replaces hubs that are lost: in a tier in parts,
+// each part would take itself for the whole.
+func (c *control) updateQuotaTier(now dandeliongap.Instant, registered []dgroster.Candidate) {
+	var calm dgroster.Roster
+	hubs := calm.Hubs(registered, c.near, func(dandeliongap.VMName) bool { return false })
+	tier := dgquota.Tier{Total: len(hubs)}
+	addrs := make(map[dandeliongap.VMName]netip.AddrPort, len(hubs))
+	for _, vm := range hubs {
+		if vm == c.e.opt.Settings.VM {
+			if c.e.serving() {
+				tier.Hubs = append(tier.Hubs, vm)
+			}
+			continue
+		}
+		if _, serving := c.presence.Present(now, vm); !serving {
+			continue
+		}
+		if addr, err := netip.ParseAddrPort(c.members[vm].Gossip); err == nil {
+			tier.Hubs = append(tier.Hubs, vm)
+			addrs[vm] = addr
+		}
+	}
+	c.e.quotas.setTier(now, tier, c.nominal, addrs)
 }
 
 // selectServingHub returns the gossip address of a hub that serves callers, in the zone of
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -86,6 +86,9 @@
 	case ex.gather.Outstanding() > 0:
 		time.AfterFunc(cancelGrace, ex.cancelAttempts)
 	}
+	if req.hasToken && (ex.verdict == dggather.NotRun || len(ex.attempts) == 0) {
+		e.quotas.giveBack(req.token)
+	}
 	ex.writeResponse(ctx)
 	ex.releaseResponses()
 	took := e.now().Sub(req.arrived)
@@ -446,6 +449,9 @@
 	if line == nil {
 		return
 	}
+	if ex.req.account != "" {
+		line = line.Str("Account", string(ex.req.account))
+	}
 	line.Strs("Sent", ex.describeSent()).Strs("Missing", ex.describeMissing()).Int("NoBudget", ex.noBudget).Str("Route", string(ex.req.route.Name)).Uint64("Config", uint64(ex.req.version)).
 		Str("Verdict", verdict).Int("Status", status).Int("Merged", in).Int("Total", total).
 		Int("Attempts", len(ex.attempts)).Int("Extra", ex.extras).Str("Why", ex.lastFailure).
--- a/dgedge/settings.go
+++ b/dgedge/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgquota"
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
 )
@@ -29,6 +30,12 @@
 	RetryRatio      float64       // extra requests (retries and hedges) allowed per first request
 	RetrySlack      float64       // additional extra requests allowed per RetryWindow, for all VMs together
 	RetryWindow     time.Duration // sliding window in which RetryRatio and RetrySlack limit the extra requests
+
+	// Bounds of the quotas of accounts; nil: not set.
+	Quota *dgquota.Bounds
+	// RevokeTime and ConfigTime are the times that the platform allows for the removal of a
+	// key and for a new configuration. They are logged only; 0: not set.
+	RevokeTime, ConfigTime time.Duration
 }
 
 // ParseSettings parses and validates an INI file. Its error wraps dandeliongap.ErrInvalid
@@ -60,6 +67,8 @@
 			s.Cores *= r.ratio("core share")
 		}
 	}
+	s.Quota = r.quotaBounds()
+	s.RevokeTime, s.ConfigTime = r.optionalMillis("revoke time ms"), r.optionalMillis("config time ms")
 	if r.section.HasKey("metrics listen") {
 		s.MetricsListen = r.address("metrics listen")
 	}
@@ -69,6 +78,17 @@
 	return s, nil
 }
 
+// equal reports whether two settings are the same.
+func (s Settings) equal(o Settings) bool {
+	same := equalBounds(s.Quota, o.Quota)
+	s.Quota, o.Quota = nil, nil
+	return same && s == o
+}
+
+func equalBounds(a, b *dgquota.Bounds) bool {
+	return a == b || a != nil && b != nil && *a == *b
+}
+
 // sectionReader reads the keys of a section. It collects the errors so that all invalid
 // keys are reported at once.
 type sectionReader struct {
@@ -127,3 +147,49 @@
 	}
 	return v
 }
+
+// set reports whether an optional key has a value. A platform that has none writes an empty
+// one.
+func (r *sectionReader) set(key string) bool { return r.section.Key(key).String() != "" }
+
+// quotaBounds reads the bounds of quotas. Those that are not set are as in
+// dgquota.DefaultBounds; without any, it returns nil.
+func (r *sectionReader) quotaBounds() *dgquota.Bounds {
+	b, found := dgquota.DefaultBounds, false
+	for key, read := range map[string]func(key string){
+		"quota window s": func(key string) {
+			if n := r.number(key); n < minQuotaWindow.Seconds() || n > maxQuotaWindow.Seconds() {
+				r.invalid(key, fmt.Sprintf("seconds from %g to %g", minQuotaWindow.Seconds(), maxQuotaWindow.Seconds()))
+			} else {
+				b.Window = time.Duration(n * float64(time.Second))
+			}
+		},
+		"quota overshoot": func(key string) { b.Overshoot = r.ratio(key) },
+		"quota slack":     func(key string) { b.Slack = r.number(key) },
+	} {
+		if r.set(key) {
+			found = true
+			read(key)
+		}
+	}
+	if !found {
+		return nil
+	}
+	return &b
+}
+
+const (
+	minQuotaWindow = 100 * time.Millisecond
+	maxQuotaWindow = time.Hour
+)
+
+func (r *sectionReader) optionalMillis(key string) time.Duration {
+	if !r.set(key) {
+		return 0
+	}
+	n := r.number(key)
+	if n > float64(maxQuotaWindow.Milliseconds()) {
+		r.invalid(key, fmt.Sprintf("milliseconds up to %d", maxQuotaWindow.Milliseconds()))
+	}
+	return time.Duration(n * float64(time.Millisecond))
+}
--- a/dgedge/settings_test.go
+++ b/dgedge/settings_test.go
@@ -10,6 +10,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgedge"
+	"dandeliongap.example/dandeliongap/dgquota"
 )
 
 func TestEdge(t *testing.T) {
@@ -64,6 +65,24 @@
 		Entry(nil, "retry ratio", "2"),
 		Entry(nil, "retry slack", "many"),
 	)
+	// Guards against a VM that does not start where the platform has no value for a key.
+	It("takes empty values of the keys for quotas as not set, and the others as they are", func() {
+		parse := func(lines string) dgedge.Settings {
+			s, err := dgedge.ParseSettings([]byte(settings + lines))
+			Expect(err).NotTo(HaveOccurred())
+			return s
+		}
+		none := parse("")
+		Expect(none.Quota).To(BeNil())
+		Expect(parse("quota window s =\nquota overshoot = \nquota slack =\nrevoke time ms =\nconfig time ms = \n")).To(Equal(none))
+		s := parse("quota window s = 4\nquota overshoot =\nquota slack = 7\nrevoke time ms = 3000\n")
+		Expect(*s.Quota).To(Equal(dgquota.Bounds{Window: 4 * time.Second, Overshoot: dgquota.DefaultBounds.Overshoot, Slack: 7}))
+		Expect([]time.Duration{s.RevokeTime, s.ConfigTime}).To(Equal([]time.Duration{3 * time.Second, 0}))
+		for _, bad := range []string{"quota window s = 0", "quota window s = 5s", "quota overshoot = 2", "quota slack = -1", "revoke time ms = soon"} {
+			_, err := dgedge.ParseSettings([]byte(settings + bad + "\n"))
+			Expect(err).To(MatchError(dandeliongap.ErrInvalid), bad)
+		}
+	})
 })
 
 // FuzzParseSettings guards against a settings file that crashes the process, and against
--- a/dgquota/dgquota.go
+++ b/dgquota/dgquota.go
@@ -33,8 +33,9 @@
 //	    may be used as under Q7.
 //	Q10 After an answer without tokens, a VM refuses further requests itself until the
 //	    next token is due, at most maxDenial, without asking again.
-//	Q11 A VM waits for an answer for at most the time that the request can spare. After a
-//	    wait without an answer, it does not ask that owner for askAgainAfter.
+//	Q11 A request waits for an answer for at most maxPatience and a tenth of the latency
+//	    objective of its route. After a wait without an answer, the VM does not ask that
+//	    owner for askAgainAfter.
 //	Q12 A request that did not run returns its token: to the lease if it has not expired,
 //	    else to the owner, like what is left of a lease that expires.
 //	Q13 An owner that gives an account up to another VM passes the tokens of its bucket on
@@ -71,6 +72,8 @@
 	maxTierAge = time.Second
 	// maxDenial limits the time of Q10.
 	maxDenial = 250 * time.Millisecond
+	// maxPatience is about ten times the time that an answer takes.
+	maxPatience = 30 * time.Millisecond
 	// askAgainAfter is the time of Q11, in which an owner is either missed by the heartbeats
 	// or back.
 	askAgainAfter = 250 * time.Millisecond
@@ -96,6 +99,19 @@
 	Slack     float64 // requests
 }
 
+// DefaultBounds hold where the platform states none: an account with a limit is then
+// limited all the same.
+var DefaultBounds = Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
+// Patience returns how long a request waits for an answer of the owner at most, given the
+// latency objective of its route; 0: none (Q11).
+func Patience(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return maxPatience
+	}
+	return min(maxPatience, objective/10)
+}
+
 // Limit is the quota of an account.
 type Limit struct {
 	Rate  float64 // requests per second; above 0
@@ -179,22 +195,18 @@
 // Status is what an owner says with a grant.
 type Status uint8
 
-// Statuses of a grant.
+// Statuses of a grant. Messages have two bits for them.
 const (
 	Full     Status = iota // as many tokens as asked for
 	Short                  // fewer, since the quota is used up
 	Filling                // fewer, since the bucket has had no time to fill (Q9)
 	NotOwner               // none: the VM is not the owner, or does not know whether it is (Q6)
-	statuses
 )
 
-// Valid reports whether the status is known.
-func (s Status) Valid() bool { return s < statuses }
-
 // Ask is a request of a VM to the owner of an account.
 type Ask struct {
 	To       dandeliongap.VMName
-	ID       uint32 // identifies the ask on the VM that sends it; 0: no answer is expected
+	ID       uint16 // identifies the ask on the VM that sends it; 0: no answer is expected
 	Account  dandeliongap.AccountName
 	Tokens   int
 	Returned int // tokens that were not used (Q12)
@@ -202,7 +214,7 @@
 
 // Grant is the owner's answer to an Ask.
 type Grant struct {
-	ID     uint32
+	ID     uint16
 	Tokens int
 	Status Status
 	Wait   time.Duration // until the next token, unless the status is Full or NotOwner
@@ -214,6 +226,7 @@
 	self    dandeliongap.VMName
 	bounds  Bounds
 	tiers   []tierSince // oldest first; the last one is current
+	changes uint64      // number of changes of tiers
 	tierAt  dandeliongap.Instant
 	buckets map[dandeliongap.AccountName]*bucket
 }
@@ -229,9 +242,18 @@
 const maxTiers = 32
 
 type bucket struct {
-	limit  Limit
-	tokens float64
-	at     dandeliongap.Instant // time of tokens
+	limit     Limit
+	tokens    float64
+	at        dandeliongap.Instant // time of tokens
+	ownership ownership
+	changes   uint64 // Owner.changes for which ownership holds
+}
+
+// ownership tells whether, and since when, a VM is the owner of an account.
+type ownership struct {
+	ok     bool
+	owned  dandeliongap.Instant // the VM has been the owner since then
+	steady dandeliongap.Instant // its part of the hubs has not grown since then either
 }
 
 // NewOwner returns an owner without buckets.
@@ -253,6 +275,7 @@
 			b.tokens = min(b.tokens, capacity(b.limit, t.part()))
 		}
 	}
+	o.changes++
 	o.tiers = append(o.tiers, tierSince{now, Tier{slices.Clone(t.Hubs), t.Total}})
 	o.tiers = o.tiers[max(0, len(o.tiers)-maxTiers):]
 }
@@ -263,19 +286,24 @@
 	b.at = now
 }
 
-// ownedSince returns the time from which the VM has been the owner of an account, and the
-// time from which its part of the hubs has not grown either. It returns false if it is not
-// the owner.
-func (o *Owner) ownedSince(account dandeliongap.AccountName) (owned, steady dandeliongap.Instant, ok bool) {
+func (o *Owner) ownershipOf(account dandeliongap.AccountName) (s ownership) {
 	grown := false
 	for i := len(o.tiers) - 1; i >= 0 && o.tiers[i].Owner(account) == o.self; i-- {
-		owned, ok = o.tiers[i].from, true
+		s.owned, s.ok = o.tiers[i].from, true
 		if !grown {
-			steady = owned
+			s.steady = s.owned
 		}
 		grown = grown || i > 0 && o.tiers[i-1].part() < o.tiers[i].part()
 	}
-	return owned, steady, ok
+	return s
+}
+
+// updateOwnership works out the ownership of a bucket again if the tier has changed.
+func (o *Owner) updateOwnership(account dandeliongap.AccountName, b *bucket) ownership {
+	if b.changes != o.changes {
+		b.ownership, b.changes = o.ownershipOf(account), o.changes
+	}
+	return b.ownership
 }
 
 // bucketOf returns the filled bucket of an account, or nil if the VM is not the owner.
@@ -283,13 +311,18 @@
 	if now.Sub(o.tierAt) > maxTierAge {
 		return nil, 0
 	}
-	owned, steady, ok := o.ownedSince(account)
-	if !ok {
+	b = o.buckets[account]
+	var s ownership
+	if b != nil {
+		s = o.updateOwnership(account, b)
+	} else {
+		s = o.ownershipOf(account)
+	}
+	if !s.ok {
 		return nil, 0
 	}
-	b = o.buckets[account]
-	if b == nil || b.at < owned {
-		b = &bucket{at: steady} // empty at the begin of the ownership (Q4)
+	if b == nil || b.at < s.owned {
+		b = &bucket{at: s.steady, ownership: s, changes: o.changes} // empty at the begin of the ownership (Q4)
 		o.buckets[account] = b
 	}
 	if b.limit != l {
@@ -299,7 +332,7 @@
 		b.limit = l
 	}
 	b.fill(now, o.part())
-	return b, steady
+	return b, s.steady
 }
 
 func (o *Owner) part() float64 { return o.tiers[len(o.tiers)-1].part() }
@@ -334,12 +367,12 @@
 	}
 	tier := o.tiers[len(o.tiers)-1]
 	for account, b := range o.buckets {
-		owned, steady, ok := o.ownedSince(account)
+		s := o.updateOwnership(account, b)
 		switch {
-		case ok && b.at < owned:
+		case s.ok && b.at < s.owned:
 			delete(o.buckets, account)
-		case ok:
-			full := now.Sub(max(b.at, steady)).Seconds()*b.limit.Rate*o.part() >= capacity(b.limit, o.part())
+		case s.ok:
+			full := now.Sub(max(b.at, s.steady)).Seconds()*b.limit.Rate*o.part() >= capacity(b.limit, o.part())
 			if full && now.Sub(b.at) > o.bounds.Window {
 				delete(o.buckets, account)
 			}
--- a/dgquota/dgquota_test.go
+++ b/dgquota/dgquota_test.go
@@ -236,7 +236,12 @@
 // TestMemory guards against state for quotas that does not fit on a VM with all accounts,
 // and against state of accounts without demand (Q14).
 func TestMemory(t *testing.T) {
-	const n = 10000
+	for _, n := range []int{1000, 3000, 10000} {
+		testMemory(t, n)
+	}
+}
+
+func testMemory(t *testing.T, n int) {
 	l := dgquota.Limit{Rate: 1, Burst: 5}
 	o, v, now := pair()
 	names := make([]dandeliongap.AccountName, n)
--- a/dgquota/leases.go
+++ b/dgquota/leases.go
@@ -42,6 +42,7 @@
 	Bounds       Bounds
 	InitialStart bool                 // the whole tier starts, so this process replaces no other (Q8)
 	Start        dandeliongap.Instant // start of this process
+	FirstAsk     uint16               // differs between processes, so that answers to an earlier one do not match
 }
 
 // Leases holds the tokens that a VM has leased and decides about its requests. It is not
@@ -54,7 +55,7 @@
 	silent   map[dandeliongap.VMName]dandeliongap.Instant // owners without an answer, until when they are not asked (Q11)
 	waiting  map[uint64]dandeliongap.AccountName
 	lastID   uint64
-	lastAsk  uint32
+	lastAsk  uint16
 	asks     []Ask
 }
 
@@ -89,7 +90,7 @@
 // NewLeases returns the state of a VM that has no leases.
 func NewLeases(o Options) *Leases {
 	return &Leases{
-		opt: o, holdings: make(map[dandeliongap.AccountName]*holding),
+		opt: o, lastAsk: o.FirstAsk, holdings: make(map[dandeliongap.AccountName]*holding),
 		silent: make(map[dandeliongap.VMName]dandeliongap.Instant), waiting: make(map[uint64]dandeliongap.AccountName),
 	}
 }
@@ -324,9 +325,11 @@
 	idle := l.opt.Bounds.Window + arrivalDelay
 	for account, h := range l.holdings {
 		h.expire(now)
-		if owner := l.tier.Owner(account); h.returned > 0 && !h.open && l.asksAllowed(now, owner) {
-			l.asks = append(l.asks, Ask{To: owner, Account: account, Returned: h.returned})
-			h.returned = 0
+		if h.returned > 0 && !h.open {
+			if owner := l.tier.Owner(account); l.asksAllowed(now, owner) {
+				l.asks = append(l.asks, Ask{To: owner, Account: account, Returned: h.returned})
+				h.returned = 0
+			}
 		}
 		if len(h.waiting) == 0 && len(h.leases) == 0 && now.Sub(h.demandAt) > idle {
 			delete(l.holdings, account)
--- a/dgquota/sim_test.go
+++ b/dgquota/sim_test.go
@@ -468,7 +468,7 @@
 				first++
 			}
 			l := s.limits[i]
-			if s.factor != 1 && sent[first] > dandeliongap.Instant(settled+configTime+bounds.Window) {
+			if s.factor != 1 && sent[first] > dandeliongap.Instant(settled+configTime) {
 				l = dgquota.Limit{Rate: l.Rate * s.factor, Burst: l.Burst * s.factor}
 			}
 			worst = max(worst, float64(last-first+1)/bounds.Max(l))
