--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -62,6 +62,8 @@
 	budget   *dgbudget.Budget
 	rollouts *dgrollout.Local // nil: rollouts are off
 
+	quotas *quotas
+
 	latestSettings atomic.Pointer[Settings] // see Reload for those that take effect without a restart
 	view           atomic.Pointer[view]
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
@@ -108,6 +110,7 @@
 	if o.Settings.RolloutShare > 0 {
 		e.rollouts = dgrollout.NewLocal(dgrollout.Limits{Share: o.Settings.RolloutShare, Slack: o.Settings.RolloutSlack, Rollback: o.Settings.RollbackLimit})
 	}
+	e.quotas = newQuotas(e)
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
@@ -228,7 +231,7 @@
 }
 
 // Reload applies new settings. The addresses, the names of the VM and its availability
-// zone, the retry window and the limits of rollouts keep their values from Start. If the new values differ from
+// zone, the retry window, the limits of rollouts and the bounds of quotas keep their values from Start. If the new values differ from
 // these, the log line says that a restart is needed.
 func (e *Edge) Reload(s Settings) {
 	old := e.latestSettings.Swap(&s)
@@ -238,8 +241,9 @@
 	fixed := e.opt.Settings
 	restart := s.VM != fixed.VM || s.Zone != fixed.Zone || s.EntryListen != fixed.EntryListen || s.ReadyListen != fixed.ReadyListen || s.DirectoryListen != fixed.DirectoryListen ||
 		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow ||
-		s.RolloutShare != fixed.RolloutShare || s.RolloutSlack != fixed.RolloutSlack || s.RollbackLimit != fixed.RollbackLimit
-	e.log.event("reload").Bool("Changed", *old != s).Bool("NeedsRestart", restart).
+		s.RolloutShare != fixed.RolloutShare || s.RolloutSlack != fixed.RolloutSlack || s.RollbackLimit != fixed.RollbackLimit ||
+		!equalBounds(s.Quota, fixed.Quota)
+	e.log.event("reload").Bool("Changed", !old.equal(s)).Bool("NeedsRestart", restart).
 		Float64("RetryRatio", s.RetryRatio).Float64("RetrySlack", s.RetrySlack).Dur("ShutdownLimit", s.ShutdownLimit).Send()
 }
 
