Give the datagrams about quotas kinds that no heartbeat has

Cause: the kinds 16 and 17 of quotas set the bit by which an extended heartbeat is told from a short one, so that hubs of a tier with rollouts took each other's heartbeats for datagrams about quotas.

Change: kinds 14 and 15.

Result: the specs of platform and dgedge pass.

--- a/dgedge/quotawire.go
+++ b/dgedge/quotawire.go
@@ -16,8 +16,8 @@
 	// quotaAskKind and quotaGrantKind are the kinds of datagrams about quotas, in the place
 	// of a dgpresence.MessageKind. VMs that do not know them take them as unreadable. They
 	// are sent only while an account has a limit.
-	quotaAskKind   = 16
-	quotaGrantKind = 17
+	quotaAskKind   = 14
+	quotaGrantKind = 15
 	// maxQuotaEntries keeps a datagram with asks, and the one with their answers, within one
 	// packet.
 	maxQuotaEntries = 48
