Account for the memory that callers hold, and bound their connections

Cause: the HTTP server buffered up to 4 MB of body and 32 KB of head for each connection and kept the memory of parsed heads for as long as a connection was open; the other listeners took 4 MB bodies from any number of connections; the kernel held megabytes for callers that read nothing; and each byte received extended the time for a head.

Change: package dgmemory (rules M1 to M7) divides the memory and the descriptors, counts what connections of callers hold, with 160 bytes for each line of a head, and decides which of them end when it runs short. dgedge counts each Read before the HTTP server buffers it, reads bodies itself within the limit of the configuration in force, ends or refuses (503 "Memory") by these rules, drops the memory of long parsed heads after each request, and bounds the buffers of the kernel. A head has the header timeout, whatever arrives. The other listeners accept a bounded number of connections, 128 lines and 1 KB of body. New settings "memory limit" and "descriptor limit"; empty means not set, and then the limits of the process apply. A7 changes: when callers have their share of the descriptors, a new connection ends the longest idle one, and is closed only if all run a request. The buffer for a head shrinks from 32 to 20 KB. The body is no longer copied before it is forwarded. Changed test files: startServing takes further settings, and startVM of dgcrowd takes a testing.TB; no check changed.

--- a/cmd/dandeliongap-edge/vm_test.go
+++ b/cmd/dandeliongap-edge/vm_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -55,7 +56,8 @@
 }
 
 // startServing starts a VM whose only route leads to a backend server that responds with h.
-func startServing(t *testing.T, g *WithT, h http.HandlerFunc) *vmProcess {
+// more are further lines of its settings.
+func startServing(t *testing.T, g *WithT, h http.HandlerFunc, more ...string) *vmProcess {
 	names := platform.Dialect().Backend
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
@@ -72,7 +74,7 @@
 		Services: map[dandeliongap.ServiceName]dandeliongap.ServiceLimits{"s": {Connections: 9}},
 	})).To(Succeed())
 	g.Expect(store.Register(dandeliongap.Instance{ID: "i-1", Service: "s", Address: server.Listener.Addr().String(), Zone: "z", Slots: 9})).To(Succeed())
-	text := regexp.MustCompile(`store = \S+`).ReplaceAllString(settings(g, freeAddress(g), "52"), "store = "+store.StoreAddress())
+	text := regexp.MustCompile(`store = \S+`).ReplaceAllString(settings(g, freeAddress(g), "52"), "store = "+store.StoreAddress()) + strings.Join(more, "\n") + "\n"
 	return startProcess(t, g, text, http.StatusOK)
 }
 
--- a/dgadmit/dgadmit.go
+++ b/dgadmit/dgadmit.go
@@ -22,9 +22,10 @@
 //	    enough of the pauses are over.
 //	A6  Requests that are still in progress shortly before the limit of a shutdown are
 //	    ended, so that their callers get a response before the process is killed.
-//	A7  A VM whose callers have three quarters of its descriptors closes further
-//	    connections of callers at once, without reading from them, so that these callers
-//	    can try another VM. The rest is for backend servers, the store and other VMs.
+//	A7  Callers may have three quarters of the descriptors of a VM. If they have them, a
+//	    further connection ends others that do nothing (dgmemory M7), or is closed at once,
+//	    without reading from it, so that the caller can try another VM. The rest is for
+//	    backend servers, the store and other VMs.
 //	A8  A shutdown begins when its signal can have been sent: if the process did not run
 //	    until a moment ago, when it last ran, but at most half of the limit ago. Otherwise
 //	    it would be killed before the end of A6.
--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -178,6 +178,14 @@
 	return &Forwarder{names: names, memory: memoryPool{limit: MaxResponseMemory}, idle: make(map[dandeliongap.InstanceID]*idleConns)}
 }
 
+// LimitMemory lowers the limit of MaxResponseMemory to bytes; 0 leaves it. It must be called
+// before the first request.
+func (f *Forwarder) LimitMemory(bytes int64) {
+	if bytes > 0 {
+		f.memory.limit = min(f.memory.limit, bytes)
+	}
+}
+
 // ForwardStats holds counters of a Forwarder since its creation. Dials counts attempts
 // to open a connection, Stale idle connections that were closed or too old when they
 // were needed, and Broken responses that were missing, incomplete, malformed or for
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -15,6 +15,7 @@
 	"dandeliongap.example/dandeliongap/dgbalance"
 	"dandeliongap.example/dandeliongap/dgbudget"
 	"dandeliongap.example/dandeliongap/dghttp"
+	"dandeliongap.example/dandeliongap/dgmemory"
 	"dandeliongap.example/dandeliongap/dgroute"
 	"dandeliongap.example/dandeliongap/dgwatch"
 	"github.com/gravitational/trace"
@@ -53,6 +54,7 @@
 	stats stats
 
 	forward *dgbackend.Forwarder
+	plan    dgmemory.Plan
 
 	mu       sync.Mutex // guards balancer and budget, and the split state of routing tables
 	balancer *dgbalance.Balancer
@@ -89,11 +91,13 @@
 // control state.
 func Start(o Options) (*Edge, error) {
 	now := time.Now()
+	limits := vmLimits(o.Settings)
 	rng := rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64()))
 	e := &Edge{
 		opt: o, start: now, boot: now.UnixNano(),
 		log:      newEventLog(o.Log, o.Settings.VM),
 		forward:  dgbackend.NewForwarder(o.Dialect.Backend),
+		plan:     dgmemory.NewPlan(limits),
 		balancer: dgbalance.New(o.Settings.VM, o.Settings.Zone, rng),
 		stop:     make(chan struct{}), endRequests: make(chan struct{}),
 	}
@@ -103,12 +107,15 @@
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
-	maxCallers := dgadmit.MaxCallerConnections(descriptorLimit())
+	e.forward.LimitMemory(e.plan.ResponseBytes)
+	limitRuntime(e.plan)
+	maxCallers := dgadmit.MaxCallerConnections(uint64(limits.Sockets))
 	if err := e.listen(maxCallers); err != nil {
 		e.log.close()
 		return nil, trace.Wrap(err)
 	}
-	e.log.event("start").Str("Zone", string(o.Settings.Zone)).Str("Entry", o.Settings.EntryListen).Bool("First", o.Settings.FirstStart).Int64("MaxCallers", maxCallers).Send()
+	e.log.event("start").Str("Zone", string(o.Settings.Zone)).Str("Entry", o.Settings.EntryListen).Bool("First", o.Settings.FirstStart).Int64("MaxCallers", maxCallers).
+		Int64("Memory", limits.MemoryBytes).Int64("MaxHeld", e.plan.AccountBytes).Int64("MaxResponses", e.plan.ResponseBytes).Int("MaxOthers", e.plan.OtherConns).Send()
 	e.control = newControl(e)
 	e.wg.Go(e.control.run)
 	e.wg.Go(e.watchDisconnects)
@@ -121,19 +128,22 @@
 // listen opens all listeners and starts serving on them. maxCallers limits the open
 // connections of callers; 0 means no limit.
 func (e *Edge) listen(maxCallers int64) error {
-	l, err := net.Listen("tcp", e.opt.Settings.EntryListen)
+	l, err := listenEntry(e.opt.Settings.EntryListen)
 	if err != nil {
 		return err
 	}
 	e.callers = &callerListener{
 		Listener: e.retryAccept(l), limits: e.limits, maxOpen: maxCallers,
+		account: dgmemory.NewAccount(e.plan.AccountBytes), start: e.start,
 		rejected: func() { e.stats.add("Refused.Connection") },
+		ended:    e.connectionEnded(),
 		events:   connEvents{responded: e.active.remove, writeFailed: e.responseLost},
 	}
 	e.serve(e.callers, &fasthttp.Server{
 		Handler:                       e.handle,
 		ReadBufferSize:                maxEntryHeaderBytes,
-		MaxRequestBodySize:            maxEntryBodyBytes,
+		StreamRequestBody:             true, // receiveBody reads it
+		MaxRequestBodySize:            1,    // read before the handler is called
 		DisablePreParseMultipartForm:  true,
 		NoDefaultServerHeader:         true,
 		NoDefaultDate:                 true,
@@ -157,9 +167,7 @@
 		}
 		aux := &dghttp.Tracker{Listener: e.retryAccept(l)}
 		e.aux = append(e.aux, aux)
-		e.serve(aux, &fasthttp.Server{
-			Handler: h, NoDefaultServerHeader: true, IdleTimeout: auxIdleTimeout, ReadTimeout: auxIdleTimeout, Logger: discardLogger{},
-		})
+		e.serve(&auxListener{Tracker: aux, maxOpen: e.plan.OtherConns, ended: func() { e.stats.add("Ended.Other") }}, auxServer(h))
 	}
 	return nil
 }
@@ -167,7 +175,7 @@
 const (
 	// maxEntryHeaderBytes limits the headers of a request. The configuration may set a
 	// lower limit.
-	maxEntryHeaderBytes = 32 << 10
+	maxEntryHeaderBytes = 20 << 10
 	// maxEntryBodyBytes limits the body of a request in the same way.
 	maxEntryBodyBytes = 4 << 20
 	// auxIdleTimeout is the idle and read timeout of connections to all listeners but
@@ -198,6 +206,19 @@
 	}}
 }
 
+// connectionEnded returns a function that counts the connections ended under a rule of
+// dgmemory, and logs one line for those that follow each other closely.
+func (e *Edge) connectionEnded() func(rule string) {
+	once := rate.Sometimes{Interval: acceptLogInterval}
+	return func(rule string) {
+		e.stats.add("Ended." + rule)
+		once.Do(func() {
+			e.log.event("connection ended").Str("Rule", rule).Int("Open", len(e.callers.open)).Int64("Held", e.callers.account.Used()).
+				Int64("MaxHeld", e.plan.AccountBytes).Int64("MaxOpen", e.callers.maxOpen).Send()
+		})
+	}
+}
+
 // acceptLogInterval is the least time between two log lines about failures to accept
 // connections on one listener.
 const acceptLogInterval = 5 * time.Second
@@ -229,7 +250,8 @@
 	e.mu.Unlock()
 	fixed := e.opt.Settings
 	restart := s.VM != fixed.VM || s.Zone != fixed.Zone || s.EntryListen != fixed.EntryListen || s.ReadyListen != fixed.ReadyListen || s.DirectoryListen != fixed.DirectoryListen ||
-		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow
+		s.GossipListen != fixed.GossipListen || s.MetricsListen != fixed.MetricsListen || s.StoreAddress != fixed.StoreAddress || s.RetryWindow != fixed.RetryWindow ||
+		s.MemoryLimitMB != fixed.MemoryLimitMB || s.DescriptorLimit != fixed.DescriptorLimit
 	e.log.event("reload").Bool("Changed", *old != s).Bool("NeedsRestart", restart).
 		Float64("RetryRatio", s.RetryRatio).Float64("RetrySlack", s.RetrySlack).Dur("ShutdownLimit", s.ShutdownLimit).Send()
 }
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -7,6 +7,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgadmit"
+	"dandeliongap.example/dandeliongap/dgmemory"
 	"dandeliongap.example/dandeliongap/dgpresence"
 )
 
@@ -43,6 +44,32 @@
 	return &CallerListener{callerListener{Listener: l, limits: func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{} }}}
 }
 
+// LimitMemory sets the limit of the memory account, in bytes.
+func (l *CallerListener) LimitMemory(bytes int64) {
+	l.account, l.ended, l.rejected, l.start = dgmemory.NewAccount(bytes), func(string) {}, func() {}, time.Now()
+}
+
+// LimitOpen sets the number of connections that may be open.
+func (l *CallerListener) LimitOpen(n int64) {
+	l.LimitMemory(0)
+	l.maxOpen = n
+}
+
+// LimitHead sets the header timeout.
+func (l *CallerListener) LimitHead(timeout time.Duration) {
+	l.limits = func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{HeaderTimeout: timeout} }
+}
+
+// Used exports the bytes in the memory account.
+func (l *CallerListener) Used() int64 { return l.used() }
+
+// ErrNoMemory and ReadBody export the reading of bodies for tests.
+var (
+	ErrNoMemory     = errNoMemory
+	ErrBodyTooLarge = errBodyTooLarge
+	ReadBody        = readBody
+)
+
 // Sweep and Len export methods for tests.
 func (l *CallerListener) Sweep(closes func(dgadmit.ConnState) bool) { l.sweep(closes) }
 func (l *CallerListener) Len() int                                  { return l.len() }
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -35,12 +36,8 @@
 
 // handle forwards or refuses a request of a caller.
 func (e *Edge) handle(ctx *fasthttp.RequestCtx) {
-	e.stats.add("Requests")
-	active := e.active.add(ctx.Conn(), string(ctx.Request.Header.Peek(e.opt.Dialect.Backend.RequestID)))
 	conn, ok := ctx.Conn().(*callerConn)
-	if ok {
-		conn.beginRequest(active)
-	}
+	var active *activeRequest
 	defer func() {
 		if r := recover(); r != nil {
 			e.log.event("panic").Str("Value", fmt.Sprint(r)).Bytes("Stack", debug.Stack()).Send()
@@ -48,19 +45,36 @@
 			ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		}
 		if ok {
+			if !ctx.Response.IsBodyStream() { // a stream is counted by the forwarder
+				conn.hold(int64(len(ctx.Response.Body())), true)
+			}
 			conn.endRequest()
 			// With a deadline, the HTTP server writes the response before it reads on, also
 			// if a part of the next request has arrived. On a closed connection the
 			// deadline cannot be set, and the write fails next.
 			_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout))
-		} else {
+		} else if active != nil {
 			e.active.remove(active)
 		}
 		if e.draining() {
 			ctx.SetConnectionClose()
 		}
+		dropHead(ctx)
 	}()
-	req, refusal := e.parseRequest(ctx)
+	body, err := e.receiveBody(ctx, conn)
+	if err != nil {
+		ctx.SetConnectionClose() // the rest of the body is not read
+	}
+	if err != nil && !errors.Is(err, errBodyTooLarge) {
+		e.handleMalformed(ctx, err)
+		return
+	}
+	e.stats.add("Requests")
+	active = e.active.add(ctx.Conn(), string(ctx.Request.Header.Peek(e.opt.Dialect.Backend.RequestID)))
+	if ok {
+		conn.beginRequest(active)
+	}
+	req, refusal := e.parseRequest(ctx, body, err != nil)
 	if refusal.Status == 0 {
 		refusal = e.admit(req)
 	}
@@ -72,8 +86,9 @@
 }
 
 // parseRequest matches the request to a route, checks its headers and limits, and
-// prepares it for forwarding. Even a refused request is returned, for the log.
-func (e *Edge) parseRequest(ctx *fasthttp.RequestCtx) (*request, dgadmit.Refusal) {
+// prepares it for forwarding. tooLarge reports that its body exceeds the limit. Even a
+// refused request is returned, for the log.
+func (e *Edge) parseRequest(ctx *fasthttp.RequestCtx, body []byte, tooLarge bool) (*request, dgadmit.Refusal) {
 	now, v := e.now(), e.view.Load()
 	h := &ctx.Request.Header
 	req := &request{id: string(h.Peek(e.opt.Dialect.Backend.RequestID)), arrived: now}
@@ -105,8 +120,8 @@
 	if limits.HeaderBytes > 0 && len(h.RawHeaders()) > limits.HeaderBytes {
 		return req, dgadmit.HeaderTooLarge(limits.HeaderBytes)
 	}
-	if limits.BodyBytes > 0 && len(ctx.Request.Body()) > limits.BodyBytes {
-		return req, dgadmit.TooLarge(limits.BodyBytes)
+	if tooLarge || limits.BodyBytes > 0 && len(body) > limits.BodyBytes {
+		return req, dgadmit.TooLarge(e.bodyLimit())
 	}
 	req.deadline = now.Add(limit)
 	req.shards = r.Shards
@@ -115,7 +130,7 @@
 		req.shards = []dandeliongap.ServiceName{v.table.PickService(r)}
 		e.mu.Unlock()
 	}
-	req.forward = e.newForward(ctx, req)
+	req.forward = e.newForward(ctx, req, body)
 	return req, dgadmit.Refusal{}
 }
 
@@ -163,7 +178,7 @@
 
 // newForward copies the parts of the request that are forwarded. The copy is needed
 // because sub-requests may outlive ctx.
-func (e *Edge) newForward(ctx *fasthttp.RequestCtx, req *request) *dgbackend.ForwardRequest {
+func (e *Edge) newForward(ctx *fasthttp.RequestCtx, req *request, body []byte) *dgbackend.ForwardRequest {
 	h := &ctx.Request.Header
 	connection := strings.ToLower(string(h.Peek(fasthttp.HeaderConnection)))
 	var b bytes.Buffer
@@ -180,7 +195,6 @@
 		b.Write(val)
 		b.WriteString("\r\n")
 	}
-	body := bytes.Clone(ctx.Request.Body())
 	if len(body) > 0 || h.ContentLength() >= 0 && !h.IsGet() && !h.IsHead() {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
@@ -226,6 +240,11 @@
 // handleMalformed responds to data that is not a valid HTTP request, or exceeds the
 // limits of the server.
 func (e *Edge) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
+	defer dropHead(ctx)
+	if conn, ok := ctx.Conn().(*callerConn); ok && conn.refused.Load() {
+		e.refuse(ctx, &request{}, noMemory())
+		return
+	}
 	status := fasthttp.StatusBadRequest
 	switch err.(type) {
 	case *fasthttp.ErrSmallBuffer:
--- a/dgedge/listeners.go
+++ b/dgedge/listeners.go
@@ -7,19 +7,24 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgadmit"
+	"dandeliongap.example/dandeliongap/dgmemory"
 )
 
 // callerListener applies the timeouts of the current configuration to the
 // connections of callers. The timeouts of a fasthttp server cannot change while it
-// runs. It also limits the number of these connections (dgadmit A7).
+// runs. It also bounds the number of these connections (dgadmit A7) and what they hold
+// (dgmemory).
 type callerListener struct {
 	net.Listener
 	limits   func() dandeliongap.CallerLimits
-	maxOpen  int64  // connections open at the same time; 0: no limit
-	rejected func() // called for each connection that is closed because of maxOpen
+	maxOpen  int64             // connections open at the same time; 0: no limit
+	rejected func()            // called for each connection that is not accepted for lack of room
+	ended    func(rule string) // called for each connection that is ended to make room
+	start    time.Time         // origin of the Instants of connections
 	events   connEvents
 
 	mu      sync.Mutex
+	account dgmemory.Account
 	open    map[*callerConn]struct{}
 	closing bool // no more connections are accepted
 }
@@ -58,16 +63,19 @@
 	if l.closing {
 		return nil
 	}
-	if l.maxOpen > 0 && int64(len(l.open)) >= l.maxOpen {
+	now := time.Now()
+	if !l.makeRoom(dandeliongap.Instant(now.Sub(l.start))) {
 		l.rejected()
 		return nil
 	}
-	c := &callerConn{TCPConn: tcp, limits: l.limits, timeoutStart: time.Now(), writeTimeout: writeTimeout, events: l.events}
+	c := &callerConn{TCPConn: tcp, listener: l, limits: l.limits, timeoutStart: now, writeTimeout: writeTimeout, events: l.events}
+	c.setSince(now)
 	c.closed = func() { l.remove(c) }
 	if l.open == nil {
 		l.open = make(map[*callerConn]struct{})
 	}
 	l.open[c] = struct{}{}
+	l.account.Add(dgmemory.ConnBytes)
 	return c
 }
 
@@ -81,7 +89,7 @@
 func (l *callerListener) remove(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.open, c)
+	l.forget(c)
 }
 
 // sweep closes the connections in a state for which closes returns true, and those that are
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -55,7 +55,7 @@
 	}
 	e.stats.add("PullsServed")
 	ctx.SetContentType(contentType)
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body) // shared by all that ask for the same changes
 }
 
 // pull fetches the changes since f.since from the VM at addr. The log names rule, the
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -26,6 +26,10 @@
 // their slots at the replicas for requests that still wait.
 const cancelGrace = 20 * time.Millisecond
 
+// freePartBytes is the size up to which the parts of an answer do not count towards the
+// memory account.
+const freePartBytes = 8 << 10
+
 // attempt is one attempt at the sub-request to a shard, sent to one replica.
 type attempt struct {
 	shard      int
@@ -50,7 +54,9 @@
 
 	attempts     []*attempt
 	firstCounted []bool          // by shard: its first request has been counted in the budget
+	conn         *callerConn     // of the caller; nil if it is not counted
 	parts        [][]byte        // bodies to merge
+	partBytes    int64           // of parts
 	stamps       []string        // stamp header of each part
 	response     dgbackend.Reply // accepted response to a request without shards
 	fallback     dgbackend.Reply // error response of a replica, passed on if no attempt succeeds
@@ -73,6 +79,7 @@
 		inbox:        newInbox(),
 		firstCounted: make([]bool, len(req.shards)),
 	}
+	ex.conn, _ = ctx.Conn().(*callerConn)
 	disconnected := !ex.loop(active)
 	ex.inbox.close()
 	switch {
@@ -291,7 +298,12 @@
 	}
 	resp := r.reply.Resp
 	// Only the greatest records of a part can be in the response: the rest is not kept.
-	ex.parts = append(ex.parts, dggather.Merge([][]byte{resp.Body()}, ex.req.route.TopK))
+	part := dggather.Merge([][]byte{resp.Body()}, ex.req.route.TopK)
+	ex.parts = append(ex.parts, part)
+	ex.partBytes += int64(len(part))
+	if ex.conn != nil && ex.partBytes > freePartBytes {
+		ex.conn.hold(ex.partBytes, true)
+	}
 	ex.stamps = append(ex.stamps, string(resp.Header.Peek(ex.e.opt.Dialect.Backend.ServerStamp)))
 	r.reply.Release()
 }
--- a/dgedge/settings.go
+++ b/dgedge/settings.go
@@ -23,6 +23,8 @@
 	Cores           float64 // processor cores of the VM, which may be a fraction; 0: unknown
 	GossipListen    string  // UDP for heartbeats, TCP for VMs that pull changes
 	MetricsListen   string  // optional; empty if metrics are not served
+	MemoryLimitMB   float64 // memory of the VM; 0: that of the process, if it is limited
+	DescriptorLimit float64 // descriptors of the VM, those for files included; 0: those of the process
 
 	ShutdownLimit   time.Duration // maximum time from SIGTERM to the exit of the process
 	MaxDirectoryTTL time.Duration // upper bound of the TTL in directory responses
@@ -63,6 +65,8 @@
 	if r.section.HasKey("metrics listen") {
 		s.MetricsListen = r.address("metrics listen")
 	}
+	s.MemoryLimitMB = r.optionalNumber("memory limit")
+	s.DescriptorLimit = r.optionalNumber("descriptor limit")
 	if r.errs != nil {
 		return Settings{}, fmt.Errorf("settings: %w: %w", dandeliongap.ErrInvalid, errors.Join(r.errs...))
 	}
@@ -120,6 +124,14 @@
 	return v
 }
 
+// optionalNumber returns 0 if the key is missing or empty.
+func (r *sectionReader) optionalNumber(key string) float64 {
+	if r.section.Key(key).String() == "" {
+		return 0
+	}
+	return r.number(key)
+}
+
 func (r *sectionReader) ratio(key string) float64 {
 	v := r.number(key)
 	if v > 1 {
--- a/dgedge/settings_test.go
+++ b/dgedge/settings_test.go
@@ -41,6 +41,13 @@
 			DirectoryListen: "127.0.0.1:4", GossipListen: "127.0.0.1:5", ShutdownLimit: 6 * time.Second, MaxDirectoryTTL: 5 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second}))
 	})
+	It("reads the limits of the VM, and takes empty ones for not set (guards against a placeholder without a value)", func() {
+		s, err := dgedge.ParseSettings([]byte(settings + "memory limit = 184\ndescriptor limit =\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]float64{s.MemoryLimitMB, s.DescriptorLimit}).To(Equal([]float64{184, 0}))
+		_, err = dgedge.ParseSettings([]byte(settings + "memory limit = -1\n"))
+		Expect(err).To(MatchError(ContainSubstring("memory limit")))
+	})
 	// Guards against a VM that starts with only part of its settings.
 	DescribeTable("names the invalid key",
 		func(key, value string) {
--- a/dgedge/stats.go
+++ b/dgedge/stats.go
@@ -74,6 +74,6 @@
 	}
 	fs := e.forward.Stats()
 	ctx.SetContentType("application/json")
-	fmt.Fprintf(ctx, "{\"Counts\": %s,\n\"Connections\": {\"Dialled\": %d, \"Stale\": %d, \"Broken\": %d},\n\"Active\": %d,\n\"Latency\": %s}\n",
-		e.stats.counts.String(), fs.Dials, fs.Stale, fs.Broken, e.active.len(), latency)
+	fmt.Fprintf(ctx, "{\"Counts\": %s,\n\"Connections\": {\"Dialled\": %d, \"Stale\": %d, \"Broken\": %d},\n\"Active\": %d,\n\"Memory\": {\"Held\": %d, \"MaxHeld\": %d},\n\"Latency\": %s}\n",
+		e.stats.counts.String(), fs.Dials, fs.Stale, fs.Broken, e.active.len(), e.callers.used(), e.plan.AccountBytes, latency)
 }
--- a/review/standin/tier.go
+++ b/review/standin/tier.go
@@ -70,7 +70,7 @@
 	_, innerPort, _ := net.SplitHostPort(inner)
 	values := map[string]string{
 		"{{NodeName}}": name, "{{Zone}}": zone, "{{platform.Address}}": storeAddr, "{{Limits.CpuCores}}": "1",
-		"{{Limits.CpuShare}}": "0.4", "{{Bootstrap}}": "true", wire["setting_entry"]: v.entry, wire["setting_ready"]: v.ready,
+		"{{Limits.MemoryMb}}": "184", "{{Limits.MaxFds}}": "4100", "{{Limits.CpuShare}}": "0.4", "{{Bootstrap}}": "true", wire["setting_entry"]: v.entry, wire["setting_ready"]: v.ready,
 		wire["setting_directory"]: v.directory, "{{Ip}}": ip, wire["setting_inner_port"]: innerPort,
 		"{{Bounds.GraceS}}": fmt.Sprint(graceS), "{{Bounds.ttl_max_s}}": "5", "{{Bounds.RetryBudgetRatio}}": "0.2",
 		"{{Bounds.BudgetSlack}}": "52", "{{Bounds.RetryWindowS}}": "10",
