Treat a response with an invalid status as broken everywhere

Cause: fasthttp reports a status of 0 as 200, so that a response with the status line "HTTP/1.1 000 X" was an answer of a backend server, a part of a search, a successful call of the store and changes of another VM. A status above 599 was passed on to the caller (600 in the log of the test).

Change: dghttp.ReadHeader reads the head of a response and accepts a status only if it stands as three digits from 200 to 599 in the status line. The reader of responses of backend servers (single answers and parts) and the transport for the store and other VMs use it. dandeliongapd shares that transport; its reader of backend servers is not changed.

Result: before the change the tests of each reader fail, 000 and 600 for single answers, 000 for a part of a search, for the store and for another VM; after it they pass.

--- a/dgbackend/body.go
+++ b/dgbackend/body.go
@@ -6,6 +6,7 @@
 	"net/http/httputil"
 	"sync/atomic"
 
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/valyala/fasthttp"
 )
 
@@ -107,13 +108,10 @@
 // no length and is delimited by the end of the connection. The caller must release
 // body when it no longer needs the response.
 func (c *conn) receiveForward(resp *fasthttp.Response, noBody bool, body *bodyReader) (framed bool, err error) {
-	if err := resp.Header.Read(c.br); err != nil {
+	if err := dghttp.ReadHeader(c.br, &resp.Header); err != nil {
 		return false, headerError(err)
 	}
 	status := resp.StatusCode()
-	if status < firstFinalStatus {
-		return false, errBroken
-	}
 	if noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return true, nil
 	}
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -1,6 +1,7 @@
 package dgedge
 
 import (
+	"context"
 	"io"
 	"net"
 	"time"
@@ -109,3 +110,10 @@
 	DecodeShort = decodeShort
 	ErrShort    = errShort
 )
+
+// FetchChanges fetches all changes from the VM at addr.
+func FetchChanges(addr string) error {
+	c := &control{ctx: context.Background()}
+	_, err := c.fetchChanges(addr, kinds[0], 0)
+	return err
+}
--- a/dghttp/transport.go
+++ b/dghttp/transport.go
@@ -85,7 +85,8 @@
 // Do sends a request once and reads the complete response, at most until end or
 // until ctx ends. It reports whether a byte of the request was written. The error is
 // dandeliongap.ErrClosed if the transport was closed before the request had a
-// connection, and wraps ctx.Err() if ctx ended while the request was in flight. All
+// connection, and wraps ctx.Err() if ctx ended while the request was in flight, and
+// ErrStatus if the response does not have the status of a final response. All
 // other errors are those of dialing, writing and reading.
 func (t *Transport) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, end time.Time) (sent bool, err error) {
 	t.mu.Lock()
@@ -130,7 +131,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return err
 	}
-	if err := resp.Header.Read(c.br); err != nil {
+	if err := ReadHeader(c.br, &resp.Header); err != nil {
 		return err
 	}
 	length := resp.Header.ContentLength()
