Refuse a request whose body was not kept because the VM was not ready

Cause: with the memory account a VM that is not ready discards the body of a request. If it became ready while the body arrived, the request was forwarded without its body.

--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -62,10 +62,12 @@
 		dropHead(ctx)
 	}()
 	body, err := e.receiveBody(ctx, conn)
-	if err != nil {
+	switch {
+	case err == nil, errors.Is(err, errBodyNotKept):
+	case errors.Is(err, errBodyTooLarge):
 		ctx.SetConnectionClose() // the rest of the body is not read
-	}
-	if err != nil && !errors.Is(err, errBodyTooLarge) {
+	default:
+		ctx.SetConnectionClose()
 		e.handleMalformed(ctx, err)
 		return
 	}
@@ -74,7 +76,7 @@
 	if ok {
 		conn.beginRequest(active)
 	}
-	req, refusal := e.parseRequest(ctx, body, err != nil)
+	req, refusal := e.parseRequest(ctx, body, err)
 	if refusal.Status == 0 {
 		refusal = e.admit(req)
 	}
@@ -86,13 +88,13 @@
 }
 
 // parseRequest matches the request to a route, checks its headers and limits, and
-// prepares it for forwarding. tooLarge reports that its body exceeds the limit. Even a
-// refused request is returned, for the log.
-func (e *Edge) parseRequest(ctx *fasthttp.RequestCtx, body []byte, tooLarge bool) (*request, dgadmit.Refusal) {
+// prepares it for forwarding. bodyErr is the error of receiveBody. Even a refused
+// request is returned, for the log.
+func (e *Edge) parseRequest(ctx *fasthttp.RequestCtx, body []byte, bodyErr error) (*request, dgadmit.Refusal) {
 	now, v := e.now(), e.view.Load()
 	h := &ctx.Request.Header
 	req := &request{id: string(h.Peek(e.opt.Dialect.Backend.RequestID)), arrived: now}
-	if !v.ready {
+	if !v.ready || errors.Is(bodyErr, errBodyNotKept) {
 		return req, dgadmit.Unready(time.Duration(now))
 	}
 	req.version = v.table.Config.Version
@@ -120,7 +122,7 @@
 	if limits.HeaderBytes > 0 && len(h.RawHeaders()) > limits.HeaderBytes {
 		return req, dgadmit.HeaderTooLarge(limits.HeaderBytes)
 	}
-	if tooLarge || limits.BodyBytes > 0 && len(body) > limits.BodyBytes {
+	if errors.Is(bodyErr, errBodyTooLarge) || limits.BodyBytes > 0 && len(body) > limits.BodyBytes {
 		return req, dgadmit.TooLarge(e.bodyLimit())
 	}
 	req.deadline = now.Add(limit)
--- a/dgedge/memory.go
+++ b/dgedge/memory.go
@@ -48,6 +48,7 @@
 var (
 	errBodyTooLarge = errors.New("request body too large")
 	errNoMemory     = errors.New("no memory left for this request")
+	errBodyNotKept  = errors.New("the VM was not ready when the body of the request began to arrive")
 	errManyLines    = errors.New("too many lines in a request")
 )
 
@@ -182,7 +183,8 @@
 }
 
 // receiveBody reads the body of a request within the limits of the configuration in force. A
-// body that is not needed because the VM is not ready is not kept.
+// body that is not needed because the VM is not ready is not kept; the error is
+// errBodyNotKept then.
 func (e *Edge) receiveBody(ctx *fasthttp.RequestCtx, conn *callerConn) ([]byte, error) {
 	r := ctx.RequestBodyStream()
 	if r == nil {
@@ -201,6 +203,9 @@
 		if err == nil && n > int64(limit) {
 			err = errBodyTooLarge
 		}
+		if err == nil && n > 0 {
+			err = errBodyNotKept
+		}
 		return nil, err
 	}
 	body, err := readBody(r, length, limit, func(size int) bool { return conn == nil || conn.holdBody(size) })
