End callers that stay after their last response before idle ones

Cause: when all connections were open, an idle connection of an ordinary caller was ended before one that had been refused and kept open.

Change: dgmemory M4 takes a connection that has been closed for 250 ms but by its caller like an idle one; a younger one still comes last.

--- a/dgedge/memory.go
+++ b/dgedge/memory.go
@@ -105,7 +105,7 @@
 func (l *callerListener) makeRoom(now dandeliongap.Instant) bool {
 	if l.maxOpen > 0 && int64(len(l.open)) >= l.maxOpen {
 		conns, holders := l.holders()
-		for _, i := range dgmemory.Oldest(holders, int(l.maxOpen)) {
+		for _, i := range dgmemory.Oldest(now, holders, int(l.maxOpen)) {
 			l.end(conns[i], "M7")
 		}
 		if int64(len(l.open)) >= l.maxOpen {
--- a/dgmemory/dgmemory.go
+++ b/dgmemory/dgmemory.go
@@ -16,9 +16,9 @@
 //	    kept for new connections and small requests.
 //	M4  If there is not enough left, connections end in this order: those whose request
 //	    is being received and holds much, the one that holds most for what it has
-//	    progressed first; then those that are idle or receive a small request, the one
-//	    that has not changed for longest first; then those that only wait for their caller
-//	    to receive a last response. If it is still not enough, what asks for memory is
+//	    progressed first; then those that are idle, receive a small request, or have been
+//	    closed for 250 ms but by their caller, the one that has not changed for longest
+//	    first; then those that deliver a last response. If it is still not enough, what asks for memory is
 //	    refused: a request that holds much ends only others that come before itself.
 //	M5  A request that runs is not ended, and its response is counted even if the account
 //	    is exceeded, as it may already have run.
@@ -60,6 +60,9 @@
 	// copies is how often the bytes of a head are held: as received, parsed, and as sent to
 	// backend servers.
 	copies = 3
+	// deliveryTime is several round trips between availability zones, in which a caller
+	// receives a last response (M4).
+	deliveryTime = 250 * time.Millisecond
 	// smallBytes is what the fixed cost includes for a request.
 	smallBytes = 8 << 10
 	// fileDescriptors is the number of descriptors that the platform reserves for files, and
@@ -205,7 +208,7 @@
 	if take(heavy, (*Holder).held) {
 		return out
 	}
-	take(slices.DeleteFunc(longest(holders), func(i int) bool { return i == self }), func(*Holder) int64 { return ConnBytes })
+	take(slices.DeleteFunc(longest(now, holders), func(i int) bool { return i == self }), func(*Holder) int64 { return ConnBytes })
 	return out
 }
 
@@ -213,8 +216,8 @@
 
 // Oldest returns the connections to end if limit connections are open and one more is to be
 // accepted (M7).
-func Oldest(holders []Holder, limit int) []int {
-	order := longest(holders)
+func Oldest(now dandeliongap.Instant, holders []Holder, limit int) []int {
+	order := longest(now, holders)
 	return order[:min(len(order), max(1, int(freeShare*float64(limit))))]
 }
 
@@ -233,7 +236,7 @@
 
 // longest returns the connections that are idle, receive a small request or linger, in the
 // order of M4.
-func longest(holders []Holder) []int {
+func longest(now dandeliongap.Instant, holders []Holder) []int {
 	var out []int
 	for i := range holders {
 		if h := &holders[i]; h.Phase != Running && (h.Phase != Receiving || !h.large()) {
@@ -242,12 +245,18 @@
 	}
 	slices.SortStableFunc(out, func(i, j int) int {
 		x, y := &holders[i], &holders[j]
-		if x.Phase == Lingering || y.Phase == Lingering {
-			if c := cmp.Compare(x.Phase, y.Phase); c != 0 && (x.Phase == Lingering) != (y.Phase == Lingering) {
-				return c
+		if late := x.delivers(now); late != y.delivers(now) {
+			if late {
+				return 1
 			}
+			return -1
 		}
 		return cmp.Compare(x.Since, y.Since)
 	})
 	return out
 }
+
+// delivers reports whether the caller may still be receiving a last response.
+func (h *Holder) delivers(now dandeliongap.Instant) bool {
+	return h.Phase == Lingering && now.Sub(h.Since) < deliveryTime
+}
--- a/dgmemory/dgmemory_test.go
+++ b/dgmemory/dgmemory_test.go
@@ -65,7 +65,7 @@
 		{Phase: dgmemory.Idle, Since: ago(2 * time.Second)},
 		{Phase: dgmemory.Receiving, Held: mb, Received: mb, Since: ago(time.Second)},
 		{Phase: dgmemory.Receiving, Held: mb, Received: 5000, Since: ago(time.Second)},
-		{Phase: dgmemory.Lingering, Since: ago(3 * time.Second)},
+		{Phase: dgmemory.Lingering, Since: ago(200 * time.Millisecond)},
 		{Phase: dgmemory.Receiving, Since: ago(time.Second)},
 	}
 	a := dgmemory.NewAccount(8 * mb)
@@ -74,8 +74,10 @@
 	g.Expect(a.Victims(now, holders, -1, 0, 3*mb)).To(Equal([]int{3, 2, 1, 5, 4}))
 	g.Expect(a.Victims(now, holders, 2, 2*mb, mb)).To(Equal([]int{3}), "one that holds much, for another")
 	g.Expect(a.Victims(now, holders, 3, 2*mb, mb)).To(BeEmpty(), "the first that would be ended is itself")
-	g.Expect(dgmemory.Oldest(holders, 6)).To(Equal([]int{1}))
-	g.Expect(dgmemory.Oldest(holders[:1], 1)).To(BeEmpty(), "all run")
+	g.Expect(dgmemory.Oldest(now, holders, 6)).To(Equal([]int{1}))
+	holders[4].Since = ago(3 * time.Second)
+	g.Expect(dgmemory.Oldest(now, holders, 6)).To(Equal([]int{4}), "one whose caller has its last response and stays")
+	g.Expect(dgmemory.Oldest(now, holders[:1], 1)).To(BeEmpty(), "all run")
 }
 
 // TestReserve guards against requests that hold much and leave nothing for small ones (M3).
