--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
-	"dandeliongap.example/dandeliongap/dgpresence"
 	"dandeliongap.example/dandeliongap/dgrollout"
 	"dandeliongap.example/dandeliongap/dgwatch"
 )
@@ -78,8 +77,10 @@
 	stateVersion dandeliongap.Version
 
 	lead     *dgrollout.Lead
-	logAt    dandeliongap.Instant
 	reporter reporter
+
+	logAt     dandeliongap.Instant // last line about the evidence
+	loggedBad bool                 // it said that the target is bad
 }
 
 func (r *rolloutControl) entry(name dandeliongap.ServiceName) *rolloutEntry {
@@ -407,10 +408,11 @@
 
 // logEvidence logs what the decisions about a rollout are based on, from time to time.
 func (c *control) logEvidence(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, s dgrollout.Situation) {
-	if now.Sub(en.logAt) < evidenceLogInterval && !en.lead.Bad() || now.Sub(en.logAt) < dgpresence.HeartbeatInterval {
+	bad := en.lead.Bad()
+	if now.Sub(en.logAt) < evidenceLogInterval && bad == en.loggedBad {
 		return
 	}
-	en.logAt = now
+	en.logAt, en.loggedBad = now, bad
 	against, total := en.lead.Evidence()
 	e := c.e.log.event("rollout evidence").Str("Rule", "X8").Str("Service", string(name)).Uint64("Order", uint64(en.order.Version)).Stringer("Stage", s.Stage).
 		Dur("Elapsed", s.Elapsed).Int("Replicas", s.Replicas).Bool("HubsUse", s.HubsUse).Dur("LongestTime", s.LongestTime)
--- a/dgrollout/dgrollout.go
+++ b/dgrollout/dgrollout.go
@@ -54,8 +54,9 @@
 //	X11 In the stage All, every VM sends all requests to the target. The rollout is
 //	    completed when all hubs that are present use that stage, VMs that stand by have had
 //	    LearnTime, and the longest request that an old replica may still have had its time.
-//	X12 The rollout is rolled back if the target is bad, if it is not proven in time, if it
-//	    has no replica by then, or at the deadline. A state that is final is never changed
+//	X12 The rollout is rolled back if the target is bad, if it may be bad (suspectEvidence)
+//	    while the exposure comes near to the limit, if it is not proven in time, if it has
+//	    no replica by then, or at the deadline. A state that is final is never changed
 //	    for the same order; the status of the order follows it and may be written by any
 //	    later leading VM.
 //	X13 A new order for the service takes the place of the old one. If the old one was
--- a/dgrollout/dgrollout_test.go
+++ b/dgrollout/dgrollout_test.go
@@ -422,3 +422,39 @@
 		t.Error("only orders for a known service are valid")
 	}
 }
+
+// TestLateExposure guards against a version that gets more requests than permitted because
+// it becomes bad late, or because few of its responses are bad.
+func TestLateExposure(t *testing.T) {
+	for name, change := range map[string]func(*behaviour){
+		"30% fail from half of the time on": func(b *behaviour) { b.failures, b.from = 0.3, b.duration/2 },
+		"30% fail in the last 5 s":          func(b *behaviour) { b.failures, b.from = 0.3, b.duration-5*time.Second },
+		"15% fail":                          func(b *behaviour) { b.failures = 0.15 },
+	} {
+		for _, rate := range []float64{8, 20, 45} {
+			t.Run(fmt.Sprintf("%s, %g a second", name, rate), func(t *testing.T) {
+				t.Parallel()
+				b := behaviour{rate: rate, duration: 15 * time.Second, oldFailures: 0.01}
+				change(&b)
+				over := 0
+				play(t, 100, b, func(_ *testing.T, _ uint64, r result) {
+					if float64(r.exposed) > boundShare*float64(r.requests)+boundSlack {
+						over++
+					}
+				})
+				if over > 0 {
+					t.Errorf("%d of 100 got more requests than permitted", over)
+				}
+			})
+		}
+	}
+}
+
+// TestFewRequests guards against good versions that are rolled back for lack of evidence
+// where a service has few requests.
+func TestFewRequests(t *testing.T) {
+	completed, _ := play(t, 100, behaviour{rate: 8, duration: 15 * time.Second, oldFailures: 0.01}, nil)
+	if completed < 90 {
+		t.Errorf("%d of 100 good versions completed, want 9 of 10", completed)
+	}
+}
--- a/dgrollout/lead.go
+++ b/dgrollout/lead.go
@@ -14,8 +14,11 @@
 	minStepTime      = 800 * time.Millisecond
 	maxStepTime      = 5 * time.Second
 	stepsPerDuration = 15
-	// lateTime is the time after the planned one that a step may still take place.
-	lateTime = 900 * time.Millisecond
+	// minLateTime and maxLateTime bound the time after the planned one that the stage All may
+	// still begin: a single bad response just before a step delays it. Orders of more than
+	// the shortest duration leave more.
+	minLateTime = 900 * time.Millisecond
+	maxLateTime = 3 * time.Second
 	// endMargin is how long before the deadline a rollout that is not completed is rolled
 	// back.
 	endMargin = 300 * time.Millisecond
@@ -26,7 +29,10 @@
 
 // usableExposure is the share of the permitted exposure that the stages up to All may use.
 // The rest is for the time until a version is rolled back that becomes bad in them.
-const usableExposure = 0.75
+const (
+	usableExposure = 0.75
+	passedExposure = 1.25
+)
 
 // maxRows limits the groups of one VM: 64 routes, 16 replicas and 4 stages.
 const maxRows = 4096
@@ -92,11 +98,13 @@
 	Why   string // reason, for the log and the stored state
 }
 
-// plan returns the times after the order at which the stages Quarter, Half and All begin.
-func plan(duration, longest time.Duration) (quarter, half, all time.Duration) {
+// plan returns the times after the order at which the stages Quarter, Half and All begin, and
+// the latest time for All.
+func plan(duration, longest time.Duration) (quarter, half, all, latest time.Duration) {
 	step := min(max(duration/stepsPerDuration, minStepTime), maxStepTime)
-	all = duration - longest - LearnTime - statusTime
-	return all - 2*step, all - step, all
+	latest = duration - longest - LearnTime - statusTime + minLateTime
+	all = latest - min(max(step-time.Second, 0)+minLateTime, maxLateTime)
+	return all - 2*step, all - step, all, latest
 }
 
 // Decide evaluates the evidence and returns the stage that the rollout should have (X10 to
@@ -111,17 +119,19 @@
 	l.test.Update(s.Now, sum)
 	keep := Step{Stage: s.Stage}
 	fits := func(stage Stage) bool { return s.Elapsed >= cycle && l.fits(sum, s, stage) }
-	quarter, half, all := plan(l.order.Duration, s.LongestTime)
+	quarter, half, all, latest := plan(l.order.Duration, s.LongestTime)
 	switch {
 	case s.Stage.Final():
 		return keep
 	case l.Bad():
 		return Step{RolledBack, "the target is bad"}
+	case s.Stage == All && l.test.Suspect() && l.nearLimit(sum, s):
+		return Step{RolledBack, "the target may be bad, and the permitted exposure is used up"}
 	case s.Elapsed >= l.order.Duration-endMargin:
 		return Step{RolledBack, "not completed at the deadline"}
-	case s.Replicas == 0 && s.Elapsed >= all+lateTime, s.Replicas == 0 && s.Stage == All:
+	case s.Replicas == 0 && s.Elapsed >= latest, s.Replicas == 0 && s.Stage == All:
 		return Step{RolledBack, "no replica of the target"}
-	case s.Stage < All && s.Elapsed >= all+lateTime:
+	case s.Stage < All && s.Elapsed >= latest:
 		return Step{RolledBack, "too little evidence"}
 	case s.Stage == Canary && (s.Elapsed >= quarter || fits(Quarter)) && l.test.Proven(proofFor[Quarter]):
 		return Step{Quarter, "proven"}
@@ -140,20 +150,42 @@
 // version is found. A service with few requests, for which the slack is large, then need
 // not wait for the planned time, or for the whole proof.
 func (l *Lead) fits(sum map[Key]Counts, s Situation, stage Stage) bool {
-	var total, exposed float64
+	_, _, all, _ := plan(l.order.Duration, s.LongestTime)
+	remaining := max(0, all-s.Elapsed)
+	if stage == All {
+		remaining = (LearnTime + s.LongestTime) / 2
+	}
+	return l.exposure(sum)+rate(sum, s)*stage.share()*remaining.Seconds() <= usableExposure*l.permitted(sum, s)
+}
+
+// nearLimit reports whether the exposure has come near to what a bad target may get, and not
+// passed it by far: then a rollback could not keep it any more.
+func (l *Lead) nearLimit(sum map[Key]Counts, s Situation) bool {
+	used := l.exposure(sum) / l.permitted(sum, s)
+	return used >= usableExposure && used <= passedExposure
+}
+
+// exposure returns the number of responses of the target.
+func (l *Lead) exposure(sum map[Key]Counts) (n float64) {
 	for k, c := range sum {
-		total += float64(c.Responses)
 		if k.New {
-			exposed += float64(c.Responses)
+			n += float64(c.Responses)
 		}
 	}
-	_, _, all := plan(l.order.Duration, s.LongestTime)
-	rate, remaining := total/s.Elapsed.Seconds(), max(0, all-s.Elapsed)
-	if stage == All {
-		remaining = (LearnTime + s.LongestTime) / 2
+	return n
+}
+
+// rate returns the responses per second of both versions.
+func rate(sum map[Key]Counts, s Situation) (n float64) {
+	for _, c := range sum {
+		n += float64(c.Responses)
 	}
-	permitted := l.limits.Share*rate*l.order.Duration.Seconds() + l.limits.Slack
-	return exposed+rate*stage.share()*remaining.Seconds() <= usableExposure*permitted
+	return n / s.Elapsed.Seconds()
+}
+
+// permitted returns the number of requests that a bad target may get until the deadline.
+func (l *Lead) permitted(sum map[Key]Counts, s Situation) float64 {
+	return l.limits.Share*rate(sum, s)*l.order.Duration.Seconds() + l.limits.Slack
 }
 
 // complete returns the decision in the stage All (X11).
--- a/dgrollout/verdict.go
+++ b/dgrollout/verdict.go
@@ -23,6 +23,9 @@
 	// badEvidence is the evidence from which the target is bad: a likelihood ratio of 3,000,
 	// as the evidence may rise from each of its lowest points.
 	badEvidence = 8.0
+	// suspectEvidence is the evidence from which the target may be bad: two bad responses with
+	// hardly a good one between them.
+	suspectEvidence = 4.5
 	// ownBadEvidence is the same for the evidence of one VM, which has few responses of the
 	// old versions to compare (X9).
 	ownBadEvidence = 12.0
@@ -262,6 +265,11 @@
 // Bad reports whether the target is bad.
 func (t *Test) Bad() bool { return t.bad }
 
+// Suspect reports whether the target may be bad.
+func (t *Test) Suspect() bool {
+	return t.against[failing] >= suspectEvidence || t.against[slowing] >= suspectEvidence
+}
+
 // Proven reports whether the evidence for the target has at least the given degree, and
 // neither the last responses nor those of a route speak against it.
 func (t *Test) Proven(degree float64) bool {
