Keep the deadline of an order whose status somebody else sets

A status of an open order that the tier did not write changes the revision by which orders are told apart, and the deadline was counted from it.

--- a/dgrollout/dgrollout_test.go
+++ b/dgrollout/dgrollout_test.go
@@ -312,8 +312,13 @@
 	if limit := boundShare*float64(all+more) + boundSlack/2; float64(n+m) > limit {
 		t.Errorf("%d requests to the target, limit %.0f", n+m, limit)
 	}
-	v.local.SetBad(svc, 8)
-	v.local.SetOrder(at(10*time.Second), order(9, "v3"))
+	running := order(8, "v2")
+	running.Version, running.Status = 9, dandeliongap.RolloutStatus{State: dandeliongap.RolloutRunning, Target: "v2"}
+	if v.local.SetOrder(at(9*time.Second), running); v.local.View(svc).Since != at(5*time.Second) {
+		t.Error("a status moves the deadline of an order")
+	}
+	v.local.SetBad(svc, 9)
+	v.local.SetOrder(at(10*time.Second), order(10, "v3"))
 	if n, _ := v.count(10*time.Second, 15*time.Second, "v3"); n == 0 {
 		t.Error("the second target gets no requests")
 	}
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -186,7 +186,10 @@
 			s.pauses = make(map[dandeliongap.InstanceID]dandeliongap.Instant)
 			s.bad = false
 		}
-		s.since = now
+		// Somebody else may set the status of an open order. This does not move its deadline.
+		if statusOnly := wasOpen && old.Target == o.Target && old.Duration == o.Duration && old.Status != o.Status; !statusOnly {
+			s.since = now
+		}
 	}
 	l.update(o.Service, s)
 	return s.open
