--- a/dgquota/dgquota.go
+++ b/dgquota/dgquota.go
@@ -28,7 +28,9 @@
 //	    rest of the margin. They are divided among the VMs of the nominal roster, which
 //	    follows from the registrations alone, in an order that depends on the account.
 //	Q8  A VM whose allowance grows uses the smaller one for one window, and a process that
-//	    replaces another one has none in its first window.
+//	    replaces another one has none in its first window. When the whole tier starts, VMs
+//	    learn of each other within settleTime. A VM has no allowance in this time, and
+//	    rosters known in it do not count afterwards.
 //	Q9  An owner whose bucket has had no time to fill since Q4 says so, and the allowance
 //	    may be used as under Q7.
 //	Q10 After an answer without tokens, a VM refuses further requests itself until the
@@ -79,6 +81,9 @@
 	askAgainAfter = 250 * time.Millisecond
 	// handoverDelay is the time of Q13, two heartbeat intervals.
 	handoverDelay = 500 * time.Millisecond
+	// settleTime is the time of Q8 in which VMs that start together have registered and know
+	// each other.
+	settleTime = 1500 * time.Millisecond
 	// arrivalDelay is how much longer than a window a use of the allowance counts, since
 	// the request may reach a backend server that much later.
 	arrivalDelay = time.Second
--- a/dgquota/dgquota_test.go
+++ b/dgquota/dgquota_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// TestInitialStart guards against a VM that admits nothing without the owner for a window
+// after the start of the tier, because it was not on the first roster that it knew (Q8).
+func TestInitialStart(t *testing.T) {
+	l := dgquota.Limit{Rate: 0.1, Burst: 2}
+	v := dgquota.NewLeases(dgquota.Options{Self: "vm-5", Bounds: bounds, InitialStart: true})
+	v.SetTier(0, dgquota.Tier{Total: 12}, tier(3).Hubs)
+	v.SetTier(second, dgquota.Tier{Total: 12}, tier(12).Hubs)
+	if d := v.Take(second, "a", l); d.Outcome == dgquota.Admitted {
+		t.Error("a VM that may not know the roster yet admits", d)
+	}
+	if d := v.Take(2*second, "a", l); d.Outcome != dgquota.Admitted {
+		t.Error("a VM that knows the roster refuses", d)
+	}
+}
+
 // pair returns an owner whose buckets have had time to fill, and another
 // VM of its tier.
 func pair() (*dgquota.Owner, *dgquota.Leases, dandeliongap.Instant) {
--- a/dgquota/leases.go
+++ b/dgquota/leases.go
@@ -101,7 +101,7 @@
 	if n := len(l.nominal); n == 0 || !slices.Equal(l.nominal[n-1].vms, nominal) {
 		l.nominal = append(l.nominal, nominalSince{now, slices.Clone(nominal)})
 	}
-	for len(l.nominal) > 1 && now.Sub(l.nominal[1].from) > l.opt.Bounds.Window+arrivalDelay {
+	for len(l.nominal) > 1 && (now.Sub(l.nominal[1].from) > l.opt.Bounds.Window+arrivalDelay || l.settling(now)) {
 		l.nominal = l.nominal[1:]
 	}
 }
@@ -133,9 +133,7 @@
 	l.lastID++
 	h.waiting = append(h.waiting, l.lastID)
 	l.waiting[l.lastID] = account
-	if !h.open {
-		l.ask(now, account, h, owner)
-	}
+	l.ask(now, account, h, owner)
 	return Decision{ID: l.lastID, Outcome: Waiting}
 }
 
@@ -182,6 +180,7 @@
 	return token
 }
 
+// ask asks the owner, unless the answer to an earlier ask may still arrive.
 func (l *Leases) ask(now dandeliongap.Instant, account dandeliongap.AccountName, h *holding, owner dandeliongap.VMName) {
 	if h.open && now.Sub(h.askedAt) < askAgainAfter {
 		return
@@ -290,7 +289,7 @@
 // owner (Q7, Q8).
 func (l *Leases) allowance(now dandeliongap.Instant, account dandeliongap.AccountName, limit Limit) int {
 	window := l.opt.Bounds.Window + arrivalDelay
-	if len(l.nominal) == 0 || !l.opt.InitialStart && now.Sub(l.opt.Start) < window {
+	if len(l.nominal) == 0 || l.settling(now) || !l.opt.InitialStart && now.Sub(l.opt.Start) < window {
 		return 0
 	}
 	all, least := l.opt.Bounds.Allowance(limit), math.MaxInt
@@ -303,6 +302,11 @@
 	return least
 }
 
+// settling reports whether the whole tier has started within settleTime (Q8).
+func (l *Leases) settling(now dandeliongap.Instant) bool {
+	return l.opt.InitialStart && now.Sub(l.opt.Start) < settleTime
+}
+
 // Return returns the token of a request that did not run (Q12).
 func (l *Leases) Return(now dandeliongap.Instant, t Token) {
 	h := l.holdings[t.account]
