Fill the buckets of quotas as fast as their windows allow (dgquota Q15)

Change: a bucket fills faster, by up to a burst in each window and a fifth of the rate, out of half of the margin that leases and overlapping owners leave.

--- a/dgquota/dgquota.go
+++ b/dgquota/dgquota.go
@@ -43,6 +43,10 @@
 //	Q13 An owner that gives an account up to another VM passes the tokens of its bucket on
 //	    to it, handoverDelay after the change, when the other one knows of it too.
 //	Q14 A VM sends nothing for accounts without demand.
+//	Q15 A quota counts requests in a window: rate x window + burst. A bucket that fills at
+//	    the rate holds an account that never pauses to rate x window, and refuses requests
+//	    that its quota allows. It therefore fills faster, by up to a burst in each window,
+//	    as far as half of the margin that is left by Q3 and Q4 covers it.
 package dgquota
 
 import (
@@ -87,6 +91,12 @@
 	// arrivalDelay is how much longer than a window a use of the allowance counts, since
 	// the request may reach a backend server that much later.
 	arrivalDelay = time.Second
+	// fillMargin is the part of what Q3 and Q4 leave of the margin that buckets may use to
+	// fill faster (Q15). The rest is the allowances of Q7.
+	fillMargin = 0.5
+	// fillExcess is how much faster than its rate a bucket may fill, relative to the rate
+	// (Q15). An account with a large burst else gets several times its rate for good.
+	fillExcess = 0.2
 	// roundedParts is kept of the margin for the buckets of a tier in as many parts, each of
 	// which is rounded up to whole tokens.
 	roundedParts = 2
@@ -130,17 +140,34 @@
 	return b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack
 }
 
+// fastest returns the rate at which a bucket of the account may fill at most (Q15).
+func (b Bounds) fastest(l Limit) float64 {
+	return l.Rate + min(l.Burst/b.Window.Seconds(), fillExcess*l.Rate)
+}
+
 // LeaseTime returns how long a lease may be used (Q3).
 func (b Bounds) LeaseTime(l Limit) time.Duration {
-	return max(minLease, time.Duration(min(maxLease.Seconds(), leaseMargin*b.margin(l)/l.Rate)*float64(time.Second)))
+	return max(minLease, time.Duration(min(maxLease.Seconds(), leaseMargin*b.margin(l)/b.fastest(l))*float64(time.Second)))
+}
+
+// spare returns what leases and overlapping owners leave of the margin (Q3, Q4).
+func (b Bounds) spare(l Limit) float64 {
+	m, rate := b.margin(l), b.fastest(l)
+	return max(0, m-rate*b.LeaseTime(l).Seconds()-min(overlapMargin*m, rate*maxOverlap.Seconds()))
 }
 
+// extra returns the number of requests that a bucket gives beyond the rate in a window (Q15).
+func (b Bounds) extra(l Limit) float64 {
+	return min((b.fastest(l)-l.Rate)*b.Window.Seconds(), fillMargin*b.spare(l))
+}
+
+// fillRate returns the rate at which the buckets of an account fill together (Q15).
+func (b Bounds) fillRate(l Limit) float64 { return l.Rate + b.extra(l)/b.Window.Seconds() }
+
 // Allowance returns the number of requests that all VMs together may admit in a window
 // without the owner (Q7).
 func (b Bounds) Allowance(l Limit) int {
-	m := b.margin(l)
-	rest := m - l.Rate*b.LeaseTime(l).Seconds() - min(overlapMargin*m, l.Rate*maxOverlap.Seconds())
-	return int(min(maxAllowance, max(0, rest-roundedParts)))
+	return int(min(maxAllowance, max(0, b.spare(l)-b.extra(l)-roundedParts)))
 }
 
 // capacity returns the size of a bucket, in whole tokens: a burst of 2 would else admit one
@@ -248,6 +275,7 @@
 
 type bucket struct {
 	limit     Limit
+	rate      float64 // at which the bucket fills (Q15)
 	tokens    float64
 	at        dandeliongap.Instant // time of tokens
 	ownership ownership
@@ -287,7 +315,7 @@
 
 // fill adds the tokens since the bucket was last filled.
 func (b *bucket) fill(now dandeliongap.Instant, part float64) {
-	b.tokens = min(capacity(b.limit, part), b.tokens+now.Sub(b.at).Seconds()*b.limit.Rate*part)
+	b.tokens = min(capacity(b.limit, part), b.tokens+now.Sub(b.at).Seconds()*b.rate*part)
 	b.at = now
 }
 
@@ -334,7 +362,7 @@
 		if b.limit.Rate > 0 {
 			b.fill(now, o.part())
 		}
-		b.limit = l
+		b.limit, b.rate = l, o.bounds.fillRate(l)
 	}
 	b.fill(now, o.part())
 	return b, s.steady
@@ -359,7 +387,7 @@
 	if now.Sub(steady) < o.bounds.Window {
 		g.Status = Filling
 	}
-	g.Wait = time.Duration(min(maxWait.Seconds(), (1-b.tokens)/(l.Rate*o.part())) * float64(time.Second))
+	g.Wait = time.Duration(min(maxWait.Seconds(), (1-b.tokens)/(b.rate*o.part())) * float64(time.Second))
 	return g
 }
 
@@ -377,7 +405,7 @@
 		case s.ok && b.at < s.owned:
 			delete(o.buckets, account)
 		case s.ok:
-			full := now.Sub(max(b.at, s.steady)).Seconds()*b.limit.Rate*o.part() >= capacity(b.limit, o.part())
+			full := now.Sub(max(b.at, s.steady)).Seconds()*b.rate*o.part() >= capacity(b.limit, o.part())
 			if full && now.Sub(b.at) > o.bounds.Window {
 				delete(o.buckets, account)
 			}
