--- a/ports.go
+++ b/ports.go
@@ -15,6 +15,12 @@
 
 // ObjectStore is the platform's object API. Every method may return
 // ErrUnreachable; a write that returns it may or may not have taken effect.
+//
+// The store may be restored from an older copy, which begins a new era of versions. A
+// version of another era than the store's is never compared with its revisions: a watch
+// from there returns ErrHistoryGone, and a conditional write ErrConflict. A write that met
+// the new era only in its response may have taken effect all the same, in place of what
+// another writer wrote.
 type ObjectStore interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, name ObjectName) (Object, error)
