--- a/dgcatalog/dgcatalog.go
+++ b/dgcatalog/dgcatalog.go
@@ -12,6 +12,14 @@
 //	    ReregistrationGrace from then. Those that are still missing at the end are
 //	    dropped. A replica that was draining is dropped at once. A watch that the store
 //	    cut off counts as a moment in which it was unavailable.
+//	D4  A registration that is missing from the lists of a new era of the store stays in
+//	    use until ReregistrationGrace after the first of them, because the copy from
+//	    which the store was restored may be older. This includes draining replicas, for
+//	    D5.
+//	D5  A process of a backend server (same ID and start) that was draining before a new
+//	    era stays draining, whatever the copy and what is written within
+//	    ReregistrationGrace say. The same holds for one that was removed in the last
+//	    drainMemory. Its cold start does not begin again.
 package dgcatalog
 
 import (
@@ -25,12 +33,23 @@
 // the store, plus a margin.
 const ReregistrationGrace = 2200 * time.Millisecond
 
+// drainMemory is how long a draining process is known after the removal of its registration
+// (D5). Copies from which the store is restored are some seconds old.
+const drainMemory = time.Minute
+
 type entry struct {
 	inst        dandeliongap.Instance
 	version     dandeliongap.Version
 	coldUntil   dandeliongap.Instant // end of the cold start
 	removed     bool
-	usableUntil dandeliongap.Instant // of a removed registration (D3)
+	usableUntil dandeliongap.Instant // of a removed registration (D3, D4)
+	carried     bool                 // the process was known before the era of version (D5)
+}
+
+// drained is a process that was draining when its registration was removed (D5).
+type drained struct {
+	startUnixMs int64
+	until       dandeliongap.Instant
 }
 
 // Catalog is the set of registrations. It is not safe for concurrent use.
@@ -38,11 +57,15 @@
 	entries   map[dandeliongap.InstanceID]*entry
 	graceEnd  dandeliongap.Instant // D3 applies to removals before it
 	storeDown bool
+
+	listedUpTo  dandeliongap.Version // version of the first list of the latest era; 0: no era began
+	eraGraceEnd dandeliongap.Instant // D4 and D5 apply until then
+	left        map[dandeliongap.InstanceID]drained
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{entries: make(map[dandeliongap.InstanceID]*entry)}
+	return &Catalog{entries: make(map[dandeliongap.InstanceID]*entry), left: make(map[dandeliongap.InstanceID]drained)}
 }
 
 // StoreUnavailable records that the store does not answer.
@@ -57,6 +80,18 @@
 	}
 }
 
+// BeginEra records that the next list, which has the given version, is the first of a new era
+// of the store (D4, D5).
+func (c *Catalog) BeginEra(now dandeliongap.Instant, version dandeliongap.Version) {
+	c.listedUpTo, c.eraGraceEnd = version, now.Add(ReregistrationGrace)
+}
+
+// mayBeCopied reports whether a registration of a version may be older than what was known
+// before the latest era began (D5).
+func (c *Catalog) mayBeCopied(now dandeliongap.Instant, version dandeliongap.Version) bool {
+	return c.listedUpTo > 0 && (now < c.eraGraceEnd || version <= c.listedUpTo)
+}
+
 // Replace sets all registrations from a full list. versions[i] is the object version of
 // list[i].
 func (c *Catalog) Replace(now dandeliongap.Instant, list []dandeliongap.Instance, versions []dandeliongap.Version) {
@@ -66,7 +101,12 @@
 		c.Put(now, in, versions[i])
 	}
 	for id := range c.entries {
-		if !present[id] {
+		switch {
+		case present[id]:
+		case now < c.eraGraceEnd:
+			e := c.entries[id]
+			e.removed, e.usableUntil = true, c.eraGraceEnd
+		default:
 			c.Remove(now, id)
 		}
 	}
@@ -79,7 +119,36 @@
 	if e != nil && !e.removed && e.version == version {
 		return
 	}
-	c.entries[in.ID] = &entry{inst: in, version: version, coldUntil: now.Add(in.ColdRemaining)}
+	next := &entry{inst: in, version: version, coldUntil: now.Add(in.ColdRemaining)}
+	if c.mayBeCopied(now, version) {
+		c.carryOver(next, e)
+	}
+	c.entries[in.ID] = next
+}
+
+// carryOver keeps what was known about the process of a registration before the latest era
+// (D5). old is the entry that next replaces, or nil.
+func (c *Catalog) carryOver(next, old *entry) {
+	if old == nil {
+		if d, ok := c.left[next.inst.ID]; ok && d.startUnixMs == next.inst.StartUnixMs {
+			next.carried, next.inst.Draining = true, true
+		}
+		return
+	}
+	if old.inst.StartUnixMs != next.inst.StartUnixMs || !old.carried && old.version.Era() >= next.version.Era() {
+		return
+	}
+	next.carried = true
+	next.inst.Draining = next.inst.Draining || old.inst.Draining
+	next.coldUntil = min(next.coldUntil, old.coldUntil)
+}
+
+// drop deletes an entry for good.
+func (c *Catalog) drop(now dandeliongap.Instant, e *entry) {
+	delete(c.entries, e.inst.ID)
+	if e.inst.Draining {
+		c.left[e.inst.ID] = drained{e.inst.StartUnixMs, now.Add(drainMemory)}
+	}
 }
 
 // Remove drops a registration, or keeps it in use for the grace period (D2, D3).
@@ -89,7 +158,7 @@
 		return
 	}
 	if now >= c.graceEnd && !c.storeDown || e.inst.Draining {
-		delete(c.entries, id)
+		c.drop(now, e)
 		return
 	}
 	e.removed, e.usableUntil = true, c.graceEnd
@@ -98,14 +167,19 @@
 	}
 }
 
-// Expire drops removed registrations whose grace period under D3 has ended. It
+// Expire drops removed registrations whose grace period under D3 or D4 has ended. It
 // reports whether there were any, and returns when to call it again; 0 means never.
 func (c *Catalog) Expire(now dandeliongap.Instant) (changed bool, next dandeliongap.Instant) {
-	for id, e := range c.entries {
+	for id, d := range c.left {
+		if now >= d.until {
+			delete(c.left, id)
+		}
+	}
+	for _, e := range c.entries {
 		switch {
 		case !e.removed:
 		case now >= e.usableUntil:
-			delete(c.entries, id)
+			c.drop(now, e)
 			changed = true
 		case next == 0 || e.usableUntil < next:
 			next = e.usableUntil
--- a/dgpresence/brief.go
+++ b/dgpresence/brief.go
@@ -103,6 +103,18 @@
 	Processes []ProcessID
 }
 
+// WithoutEras returns the message with bare revisions (V7).
+func (m Message) WithoutEras() Message {
+	m.Seen = revisions(m.Seen)
+	return m
+}
+
+// VMOf returns the VM of a process, or false if the process is unknown.
+func (v *View) VMOf(id ProcessID) (dandeliongap.VMName, bool) {
+	p, ok := v.processes[id]
+	return p.vm, ok
+}
+
 // process is the long form of a ProcessID.
 type process struct {
 	vm   dandeliongap.VMName
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -26,10 +26,15 @@
 //	V6  Heartbeats travel in a short form, which names a process by a hash. A VM finds
 //	    its name in the registrations. If it is missing there, it asks the sender,
 //	    which replies with the long form.
+//	V7  Versions in heartbeats carry the era of the store (dgwatch W6), so that the newest
+//	    one that any VM has reported is right after a restore, which makes revisions go
+//	    back. VMs of earlier versions, which do not say in their registration that they
+//	    know eras, get bare revisions. Theirs count as older than any version with an era.
 package dgpresence
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -83,6 +88,27 @@
 	Seen map[string]dandeliongap.Version `json:",omitempty"`
 }
 
+// WithoutEras returns the heartbeats with bare revisions (V7).
+func WithoutEras(heartbeats []Heartbeat) []Heartbeat {
+	out := slices.Clone(heartbeats)
+	for i := range out {
+		out[i].Seen = revisions(out[i].Seen)
+	}
+	return out
+}
+
+// revisions returns the versions without their eras.
+func revisions(seen map[string]dandeliongap.Version) map[string]dandeliongap.Version {
+	if seen == nil {
+		return nil
+	}
+	out := make(map[string]dandeliongap.Version, len(seen))
+	for kind, version := range seen {
+		out[kind] = dandeliongap.Version(version.Revision())
+	}
+	return out
+}
+
 type peer struct {
 	id        ProcessID // of heartbeat
 	heartbeat Heartbeat
--- a/dgwatch/dgwatch.go
+++ b/dgwatch/dgwatch.go
@@ -18,6 +18,13 @@
 //	    removals. Otherwise the whole state is passed on.
 //	W5  A VM that starts and gets no answer from the store pulls from a VM whose
 //	    heartbeat it has received.
+//	W6  Versions of a later era of the store (dandeliongap.Era) are newer, whatever their
+//	    revisions. No state of an earlier era is taken than the VM has, from the store or
+//	    from another VM, and changes only on top of a state of their own era. The begin
+//	    of an era counts as a change of every kind, so that all VMs learn of it.
+//	W7  VMs of earlier versions know no eras and would take versions with an era for later
+//	    revisions for ever. They get bare revisions. A VM that knows an era takes no state
+//	    from them and does not count them as readers under W1 and W2.
 package dgwatch
 
 import (
@@ -37,6 +44,16 @@
 type Peer struct {
 	VM           dandeliongap.VMName
 	StoreFailing bool // its calls to the store fail
+	Eras         bool // it knows eras of the store (W7)
+}
+
+// Readable returns the VMs among which a VM works out its role, given the highest era that it
+// knows (W7).
+func Readable(present []Peer, era dandeliongap.Era) []Peer {
+	if era == 0 {
+		return present
+	}
+	return slices.DeleteFunc(slices.Clone(present), func(p Peer) bool { return !p.Eras })
 }
 
 // Role is the way in which a VM gets the control state.
--- a/dgwatch/mirror.go
+++ b/dgwatch/mirror.go
@@ -19,6 +19,46 @@
 	Full    bool // Objects is the whole state; otherwise only changes
 	Version dandeliongap.Version
 	Objects []dandeliongap.Object
+
+	generation uint64
+}
+
+// Generation returns a number that changes whenever a Mirror would return another state for
+// the same version.
+func (s State) Generation() uint64 { return s.generation }
+
+// Follows reports whether a state may be taken by a VM that has all changes up to since, 0 if
+// it has none (W6).
+func (s State) Follows(since dandeliongap.Version) bool {
+	if s.Full {
+		return s.Version.Era() >= since.Era()
+	}
+	return s.Version.Era() == since.Era()
+}
+
+// Newest returns the version of the newest change in a state. The begin of the era of a whole
+// state is one (W6).
+func (s State) Newest() (newest dandeliongap.Version) {
+	if s.Full {
+		newest = s.Version.Era().Start()
+	}
+	for _, o := range s.Objects {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
+// WithoutEras returns the state with bare revisions (W7).
+func (s State) WithoutEras() State {
+	if s.Version.Era() == 0 {
+		return s
+	}
+	s.Version = dandeliongap.Version(s.Version.Revision())
+	s.Objects = slices.Clone(s.Objects)
+	for i, o := range s.Objects {
+		s.Objects[i].Version = dandeliongap.Version(o.Version.Revision())
+	}
+	return s
 }
 
 // Mirror is a copy of the control state that was read, by kind. The zero value is
@@ -33,20 +73,25 @@
 	removalsDroppedTo dandeliongap.Version // removals up to this version may be missing (W4)
 	objects           map[dandeliongap.ObjectName]dandeliongap.Object
 	removals          []dandeliongap.Object // oldest first
+	generation        uint64                // number of calls of Keep
 }
 
 // Apply adds a state or changes that were read. It ignores changes of a kind until the
-// whole state of the kind was read, and objects whose name is empty after the kind,
-// because they cannot be distinguished.
+// whole state of the kind was read, those that W6 excludes, and objects whose name is empty
+// after the kind, because they cannot be distinguished.
 func (m *Mirror) Apply(kind string, s State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kinds[kind]
-	if k == nil && !s.Full {
+	if k == nil && !s.Full || k != nil && !s.Follows(k.version) {
 		return
 	}
 	if s.Full {
-		k = &kindState{removalsDroppedTo: s.Version, objects: make(map[dandeliongap.ObjectName]dandeliongap.Object)}
+		generation := uint64(0)
+		if k != nil {
+			generation = k.generation
+		}
+		k = &kindState{removalsDroppedTo: s.Version, objects: make(map[dandeliongap.ObjectName]dandeliongap.Object), generation: generation}
 		if m.kinds == nil {
 			m.kinds = make(map[string]*kindState)
 		}
@@ -61,6 +106,17 @@
 	}
 }
 
+// Keep puts an object in place of the one of its name, without a change of the version: the
+// one that this VM uses although the store has another.
+func (m *Mirror) Keep(kind string, o dandeliongap.Object) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.kinds[kind]; k != nil {
+		k.objects[o.Name] = o
+		k.generation++
+	}
+}
+
 func (k *kindState) put(o dandeliongap.Object) {
 	if !o.Deleted {
 		k.objects[o.Name] = o
@@ -83,7 +139,7 @@
 	if k == nil {
 		return State{}, false
 	}
-	s := State{Version: k.version, Full: since == 0 || since < k.removalsDroppedTo}
+	s := State{Version: k.version, Full: since == 0 || since < k.removalsDroppedTo, generation: k.generation}
 	for _, o := range k.objects {
 		if s.Full || o.Version > since {
 			s.Objects = append(s.Objects, o)
@@ -99,3 +155,20 @@
 	slices.SortFunc(s.Objects, func(a, b dandeliongap.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return s, true
 }
+
+// SinceRevision returns the changes after a revision for a VM that knows no eras (W7), as Since
+// does.
+func (m *Mirror) SinceRevision(kind string, since uint64) (State, bool) {
+	s, ok := m.Since(kind, m.era(kind).Version(since))
+	return s.WithoutEras(), ok
+}
+
+// era returns the era of the state of a kind.
+func (m *Mirror) era(kind string) dandeliongap.Era {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.kinds[kind]; k != nil {
+		return k.version.Era()
+	}
+	return 0
+}
