Restore the store from a copy in the soak

The soak lost the history of the store but never went back to a copy, which the platform does in its drills. Three of four seeds now restore the store once or twice, from a random source of their own, so that the other steps of a seed stay as they were. K17 and K18 hold around it: no process returns to a server that it had left because it drains, nor to a zone that was out. K11 holds throughout. TestDraw now also wants the new kind; seven scenes of TestCheck cover K17, K18 and K11 around a restore.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -24,6 +24,9 @@
 	addressReuse = 2 * time.Second
 	// registrationAge is the time after which the registration of a lost server is removed.
 	registrationAge = 3600 * time.Millisecond
+	// One of restoreTwice variants restores the store again after secondRestore.
+	restoreTwice  = 3
+	secondRestore = time.Second
 	// stormSize and stormInterval describe a quick succession of configurations.
 	stormSize, stormInterval = 6, 150 * time.Millisecond
 )
@@ -35,7 +38,7 @@
 	}
 	var err error
 	switch {
-	case step.Kind <= lastVMKind:
+	case step.Kind <= lastVMKind, step.Kind == RestoreStore:
 		s.applyToVM(step)
 	case step.Kind <= lastServerKind:
 		err = s.applyToServer(step)
@@ -82,6 +85,8 @@
 		})
 	case ForgetHistory:
 		s.disturb("", step, s.opt.Platform.ForgetHistory)
+	case RestoreStore:
+		s.restoreStore(step)
 	case CutStore:
 		s.disturb(v.name, step, func() { s.faultPath(v.store, silence(step), step.For) })
 	case ResetStore:
@@ -104,6 +109,24 @@
 	}
 }
 
+// restoreStore restores the store from a copy that is step.For old, and in some variants again
+// from the same copy before all have written again.
+func (s *soak) restoreStore(step Step) {
+	restore := s.opt.Platform.CopyStore()
+	time.Sleep(step.For)
+	s.disturb("", step, func() {
+		var wg conc.WaitGroup
+		if step.Variant%restoreTwice == 0 {
+			wg.Go(func() {
+				time.Sleep(secondRestore)
+				restore(step.Variant&1 != 0)
+			})
+		}
+		restore(step.Variant&1 == 0)
+		wg.Wait()
+	})
+}
+
 // applyForOperator applies a step of operators, or of another writer in the store.
 func (s *soak) applyForOperator(step Step) (err error) {
 	switch step.Kind {
@@ -250,7 +273,7 @@
 		if err := s.opt.Platform.Register(draining); err != nil {
 			return err
 		}
-		s.fleet.depart(b)
+		record(&s.ledger, &s.ledger.Departures, Departure{s.now(), b.instance.ID, true})
 	case VanishServer:
 		s.remove(b)
 	case LeaveServer:
--- a/dgsoak/check.go
+++ b/dgsoak/check.go
@@ -31,6 +31,7 @@
 		c.checkPauses()
 		c.checkStops()
 		c.checkDeadlines()
+		c.checkRestores()
 	}
 	c.violations = append(c.violations, l.Found...)
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
@@ -40,17 +41,30 @@
 type checker struct {
 	*Ledger
 	bounds     Bounds
-	arrivals   []Arrival               // in order of time
-	byRequest  map[RequestID][]Arrival // the same
+	arrivals   []Arrival                          // in order of time
+	byRequest  map[RequestID][]Arrival            // the same
+	byProcess  map[process][]dandeliongap.Instant // when requests were sent to it
 	violations []Violation
 }
 
+// process is a process of a VM.
+type process struct {
+	vm     dandeliongap.VMName
+	number int
+}
+
+func processOf(x *Exchange) process { return process{x.VM, x.Process} }
+
 func (c *checker) report(promise string, at dandeliongap.Instant, format string, args ...any) {
 	c.violations = append(c.violations, Violation{promise, at, fmt.Sprintf(format, args...)})
 }
 
 func (c *checker) index() {
 	c.byRequest = make(map[RequestID][]Arrival)
+	c.byProcess = make(map[process][]dandeliongap.Instant)
+	for _, x := range c.Exchanges {
+		c.byProcess[processOf(x)] = append(c.byProcess[processOf(x)], x.SentAt)
+	}
 	for _, a := range c.Arrivals {
 		c.arrivals = append(c.arrivals, a)
 	}
@@ -321,10 +335,6 @@
 // checkConfigurations checks K11. A request tells by the service that it reached which
 // configurations the VM may have used.
 func (c *checker) checkConfigurations(untimed bool) {
-	type process struct {
-		vm     dandeliongap.VMName
-		number int
-	}
 	// used is the index of a publication that the process has used at the latest since a
 	// moment.
 	type used struct {
@@ -337,7 +347,7 @@
 		if x == nil || len(x.Route.Shards) > 0 || a.Misdirected {
 			continue
 		}
-		p := process{x.VM, x.Process}
+		p := processOf(x)
 		floor := 0
 		for _, u := range history[p] {
 			if x.SentAt > u.since.Add(c.bounds.Rollback) {
@@ -440,3 +450,39 @@
 		}
 	}
 }
+
+// checkRestores checks K17 and K18.
+func (c *checker) checkRestores() {
+	for _, r := range c.Disturbances {
+		if r.What != RestoreStore.String() {
+			continue
+		}
+		for _, d := range c.Departures {
+			if !d.Drained || d.At.Add(c.bounds.Drain) >= r.From {
+				continue
+			}
+			for _, a := range c.arrivals {
+				if x := c.Exchanges[a.Request]; a.Instance == d.Instance && !a.Misdirected && x != nil && x.SentAt > r.From && c.knewBefore(x, d.At, r.From) {
+					c.report("K17", a.At, "request %s by %s reached %s, which drained %v before the store was restored", a.Request, x.VM, a.Instance, r.From.Sub(d.At))
+				}
+			}
+		}
+		for _, o := range c.Outages {
+			if o.From.Add(c.bounds.Evacuation) >= r.From {
+				continue
+			}
+			for _, a := range c.arrivals {
+				if x := c.Exchanges[a.Request]; c.Instances[a.Instance].Zone == o.Zone && !a.Misdirected && x != nil && x.SentAt > r.From && a.At < min(r.To, o.To) && c.knewBefore(x, o.From, r.From) {
+					c.report("K18", a.At, "request %s by %s reached %s in zone %s, which was taken out %v before the store was restored", a.Request, x.VM, a.Instance, o.Zone, r.From.Sub(o.From))
+				}
+			}
+		}
+	}
+}
+
+// knewBefore reports whether the process of the VM that a request was sent to had run before a
+// change at from, and no fault touched the VM from then until the store was restored.
+func (c *checker) knewBefore(x *Exchange, from, restored dandeliongap.Instant) bool {
+	began := slices.ContainsFunc(c.byProcess[processOf(x)], func(at dandeliongap.Instant) bool { return at < from })
+	return began && c.calm(x.VM, from, restored-1)
+}
--- a/dgsoak/check_test.go
+++ b/dgsoak/check_test.go
@@ -118,6 +118,19 @@
 	disturb := func(s *scene, from, to time.Duration) {
 		s.Disturbances = append(s.Disturbances, dgsoak.Disturbance{VM: "vm", From: at(from), To: at(to)})
 	}
+	restore := func(s *scene, from time.Duration) {
+		s.Disturbances = append(s.Disturbances, dgsoak.Disturbance{From: at(from), To: at(from + 2500*time.Millisecond), What: dgsoak.RestoreStore.String()})
+	}
+	// leave moves the requests of a time from i-f0 to another server of its service.
+	leave := func(s *scene, from, to time.Duration) {
+		for n, a := range s.Arrivals {
+			if x := s.Exchanges[a.Request]; a.Instance == "i-f0" && x.SentAt >= at(from) && x.SentAt < at(to) {
+				a.Instance = "i-f0-other"
+				s.Arrivals[n] = a
+				x.Response.Stamps = []string{dgsoak.StampFor(a.Instance, a.Service, a.Request)}
+			}
+		}
+	}
 	for _, c := range []struct {
 		name   string
 		want   string // the broken promise; "" if none is
@@ -245,6 +258,52 @@
 			}
 		}},
 		{"a process that takes too much memory", "K15", func(s *scene) { s.Usages = map[string]dgsoak.Usage{"vm/1": {VM: "vm", MemoryBytes: 1 << 30}} }},
+		{"requests to a server that drained before the store was restored", "K17", func(s *scene) {
+			s.Departures = append(s.Departures, dgsoak.Departure{At: at(20 * second), Instance: "i-f0", Drained: true})
+			restore(s, 25*second)
+			leave(s, 20*second, 27*second)
+		}},
+		{"requests to it by a process that started later", "", func(s *scene) {
+			s.Departures = append(s.Departures, dgsoak.Departure{At: at(20 * second), Instance: "i-f0", Drained: true})
+			restore(s, 25*second)
+			leave(s, 20*second, 27*second)
+			for _, x := range s.Exchanges {
+				if x.SentAt > at(20*second) {
+					x.Process = 2
+				}
+			}
+		}},
+		{"requests to it by a VM that was cut off from the store", "", func(s *scene) {
+			s.Departures = append(s.Departures, dgsoak.Departure{At: at(20 * second), Instance: "i-f0", Drained: true})
+			restore(s, 25*second)
+			leave(s, 20*second, 27*second)
+			disturb(s, 20*second, 22*second)
+		}},
+		{"requests to a server that was removed before the store was restored", "", func(s *scene) {
+			s.Departures = append(s.Departures, dgsoak.Departure{At: at(20 * second), Instance: "i-f0"})
+			restore(s, 25*second)
+			leave(s, 20*second, 27*second)
+		}},
+		{"requests to a zone that was out before the store was restored", "K18", func(s *scene) {
+			s.Outages = append(s.Outages, dgsoak.Outage{Zone: "z1", From: at(15 * second), To: at(35 * second)})
+			restore(s, 25*second)
+			leave(s, 15*second, 26*second)
+			leave(s, 27*second, 62*second)
+		}},
+		{"requests to a zone after its writers have written again", "", func(s *scene) {
+			s.Outages = append(s.Outages, dgsoak.Outage{Zone: "z1", From: at(15 * second), To: at(35 * second)})
+			restore(s, 25*second)
+			leave(s, 15*second, 28*second)
+		}},
+		{"a VM that goes back to the configuration of the copy", "K11", func(s *scene) {
+			s.Publications = append(s.Publications, dgsoak.Publication{At: at(54 * second), Config: config(1)})
+			restore(s, 57500*time.Millisecond)
+			for i, service := range []dandeliongap.ServiceName{"f1", "f1", "f0", "f1"} {
+				id := "fetch" + dgsoak.RequestID(rune('A'+56+i))
+				s.change(id, func(a *dgsoak.Arrival) { a.Service = service })
+				s.Exchanges[id].Response = dgsoak.Response{Status: 502}
+			}
+		}},
 		{"a response long after the deadline", "K16", func(s *scene) { s.Exchanges["fetchB"].AnsweredAt = at(4 * second) }},
 	} {
 		s := newScene()
@@ -286,7 +345,7 @@
 			}
 		}
 	}
-	for k := dgsoak.KillVM; k <= dgsoak.WriteOddEntries; k++ {
+	for k := dgsoak.KillVM; k <= dgsoak.RestoreStore; k++ {
 		if !seen[k] {
 			t.Errorf("kind %s is never drawn", k)
 		}
--- a/dgsoak/doc.go
+++ b/dgsoak/doc.go
@@ -24,6 +24,13 @@
 //	     Bounds.Descriptors.
 //	K16  A request gets a response until Bounds.ResponseSlack after its deadline.
 //
-// K7 to K12, K14 and K16 have time bounds, which a busy machine may break. K8 to K12 and
-// K16 hold for VMs that no fault has touched for Bounds.Stable.
+//	K17  After the store was restored from a copy, a process of a VM sends no request to a
+//	     backend server that it had left before because it drains.
+//	K18  While writers write again after that, it sends none to a zone that was out of
+//	     service before.
+//
+// K7 to K12, K14 and K16 to K18 have time bounds, which a busy machine may break. K8 to K12
+// and K16 hold for VMs that no fault has touched for Bounds.Stable, K17 and K18 for those that
+// none had touched before the restore. K11 holds around a restore too: no VM goes back to the
+// configuration of the copy.
 package dgsoak
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -44,6 +44,7 @@
 type Departure struct {
 	At       dandeliongap.Instant
 	Instance dandeliongap.InstanceID
+	Drained  bool // its registration says so; otherwise it was removed
 }
 
 // Outage is the time for which operators took a zone out of service.
@@ -72,7 +73,7 @@
 
 // Violation is a broken promise.
 type Violation struct {
-	Promise string // K1 to K16
+	Promise string // K1 to K18
 	At      dandeliongap.Instant
 	Text    string
 }
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -18,6 +18,14 @@
 	SetStoreFault(StoreFault)
 	// ForgetHistory makes the store drop the changes that it holds for watches.
 	ForgetHistory()
+	// NumberEras makes the store number the times that it is restored.
+	NumberEras()
+	// CopyStore copies the state of the store. The function that it returns restores the
+	// store from the copy: it is unavailable for a moment, and operators and backend servers
+	// write again what they wrote since, within RewriteTime. The function returns when they
+	// have done so. If passed is set, some write before the store answers again, and its
+	// revisions pass those that it had.
+	CopyStore() (restore func(passed bool))
 	// Publish puts a configuration into the store, as operators do. It is accepted when
 	// Publish returns.
 	Publish(*dandeliongap.RouteConfig) error
@@ -94,6 +102,10 @@
 	Now    func() dandeliongap.Instant
 }
 
+// RewriteTime is how long writers take to write again after the store was restored. The
+// platform documents about two seconds.
+const RewriteTime = 1800 * time.Millisecond
+
 // PauseTime is the pause for which a server with the fault ServerPauses asks.
 const PauseTime = 2500 * time.Millisecond
 
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -43,6 +43,7 @@
 	StormConfig                 // several changes in quick succession
 	Reshard                     // the index has another set of shards
 	WriteOddEntries             // among the registrations
+	RestoreStore                // from a copy that is some seconds old
 	kinds                       // number of kinds
 
 	lastVMKind     = LosePeers
@@ -53,7 +54,7 @@
 	"kill VM", "stop VM", "pause VM", "reload VM", "kill all VMs", "faulty store", "store forgets history", "store cut off", "store connections reset",
 	"callers delayed", "caller connections reset", "answers silenced", "VM cut off from others", "heartbeats lost", "faulty server", "faulty service", "server cut off", "server connections reset",
 	"server throttled", "server crash", "server drained", "server vanishes", "server leaves", "address reused", "zone taken out", "configuration change",
-	"configuration storm", "new set of shards", "odd entries",
+	"configuration storm", "new set of shards", "odd entries", "store restored",
 }
 
 // String returns the name of the kind.
@@ -89,17 +90,38 @@
 	var out []Step
 	for range int(length / stepInterval) {
 		out = append(out, Step{
-			Kind:    Kind(rng.IntN(int(kinds))),
+			Kind:    Kind(rng.IntN(int(RestoreStore))),
 			At:      firstStep + time.Duration(rng.Int64N(int64(max(1, length-firstStep)))),
 			For:     shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))),
 			Target:  rng.Uint32(),
 			Variant: rng.Uint32(),
 		})
 	}
+	out = append(out, drawRestores(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
 
+// Three of restoreSeeds seeds restore the store. The others show that nothing depends on a
+// store that numbers its eras.
+const restoreSeeds = 4
+
+// drawRestores returns the steps of the kind RestoreStore. They have a source of their own, so
+// that the other steps of a seed stay as they were before this kind existed.
+func drawRestores(seed uint64, length time.Duration) (out []Step) {
+	if seed%restoreSeeds == 0 || length <= firstStep {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 1<<32))
+	for range 1 + rng.IntN(2) {
+		out = append(out, Step{
+			Kind: RestoreStore, At: firstStep + time.Duration(rng.Int64N(int64(length-firstStep))),
+			For: shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))), Variant: rng.Uint32(),
+		})
+	}
+	return out
+}
+
 // storeFault returns the fault of the store that the step selects.
 func (s Step) storeFault() StoreFault { return StoreFault(1 + s.Variant%uint32(storeFaults-1)) }
 
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,6 +95,9 @@
 	if steps == nil {
 		steps = Draw(o.Seed, o.Length)
 	}
+	if slices.ContainsFunc(steps, func(step Step) bool { return step.Kind == RestoreStore }) {
+		o.Platform.NumberEras()
+	}
 	var background, callers conc.WaitGroup
 	background.Go(s.measure)
 	for i := range callerCount {
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -208,7 +208,7 @@
 
 // depart records that the store accepted that a backend server leaves.
 func (f *fleet) depart(b *backend) {
-	record(f.ledger, &f.ledger.Departures, Departure{f.now(), b.instance.ID})
+	record(f.ledger, &f.ledger.Departures, Departure{f.now(), b.instance.ID, false})
 }
 
 func (f *fleet) Close() error {
