--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -141,6 +141,6 @@
 // FetchChanges fetches all changes from the VM at addr.
 func FetchChanges(addr string) error {
 	c := &control{ctx: context.Background()}
-	_, err := c.fetchChanges(addr, kinds[0], 0)
+	_, err := c.fetchChanges(addr, kinds[0], 0, "")
 	return err
 }
--- a/dgedge/quotawire.go
+++ b/dgedge/quotawire.go
@@ -14,10 +14,10 @@
 
 const (
 	// quotaAskKind and quotaGrantKind are the kinds of datagrams about quotas, in the place
-	// of a dgpresence.MessageKind. VMs that do not know them take them as unreadable. They
+	// of a dgpresence.MessageKind, which has three bits. VMs that do not know them take them as unreadable. They
 	// are sent only while an account has a limit.
-	quotaAskKind   = 14
-	quotaGrantKind = 15
+	quotaAskKind   = 6
+	quotaGrantKind = 7
 	// maxQuotaEntries keeps a datagram with asks, and the one with their answers, within one
 	// packet.
 	maxQuotaEntries = 48
--- a/route.go
+++ b/route.go
@@ -137,6 +137,9 @@
 	// Rollouts reports that the VM takes part in rollouts and reads heartbeats with the
 	// versions of KindRollouts and KindRolloutStates.
 	Rollouts bool `json:",omitempty"`
+	// Eras reports that the VM knows eras of the store (dgwatch W7). VMs of earlier versions
+	// do not.
+	Eras bool `json:",omitempty"`
 }
 
 // Kinds of control state that an EdgeStore holds.
