Restore from copies in the soak that are older than the bounds

K17 and K18 are about changes since the copy that a VM must know when the store is restored, at most 5 s (Bounds.Evacuation) after the change. The copies were 0.3 to 5 s old, so that K18 could not fail. They are now 5.3 to 10 s old.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -109,11 +109,11 @@
 	}
 }
 
-// restoreStore restores the store from a copy that is step.For old, and in some variants again
+// restoreStore restores the store from a copy that is some seconds old, and in some variants again
 // from the same copy before all have written again.
 func (s *soak) restoreStore(step Step) {
 	restore := s.opt.Platform.CopyStore()
-	time.Sleep(step.For)
+	time.Sleep(s.opt.Bounds.Evacuation + step.For) // K17 and K18 are about changes since the copy that VMs must know by then
 	s.disturb("", step, func() {
 		var wg conc.WaitGroup
 		if step.Variant%restoreTwice == 0 {
