Keep replicas usable when a caller's request head fails them

A caller could make healthy replicas look failing or unresponsive for everybody, and use up the retry budget:

- A Connection header that names the request ID removed the ID from the forwarded request.
No response was recognized, and both replicas had an unanswered request until the deadline (504).
One that names Host made servers refuse the request (502).
- With a request ID of 8,000 bytes the head of the response exceeded the read buffer of 4,096 bytes.
That counted as a broken response (502).
- Header names with a space were forwarded, and servers refused them (502).
- Failures of a server because of a head that the protocol allows, such as more than 100 lines or bytes that are not ASCII, counted against the replica.
A 400 of its HTTP server counted as a very fast answer.

Host and the request ID are always forwarded, response heads may have 64 KB (counted with the response bodies beyond 4 KB), and names that are not tokens are refused with 400. dgbalance R13 adds the result Rejected, which changes no estimate: for a 4xx of the server's HTTP layer, a failure of a request with an unusual head, and a response that this VM had no memory for. Failures of ordinary requests count as before.

--- a/dgbackend/body.go
+++ b/dgbackend/body.go
@@ -22,6 +22,9 @@
 	// towards MaxResponseMemory, so that usual responses are read even while long ones
 	// use it up.
 	freeBodyBytes = 16 << 10
+	// maxForwardHeadBytes limits the head of a response. The callers' heads have at most
+	// 16 KB, and a response may repeat the request ID twice.
+	maxForwardHeadBytes = 64 << 10
 	// initialBodyBytes is the initial size of the buffer for the body of a response.
 	initialBodyBytes = 512
 )
@@ -53,9 +56,10 @@
 // bodyReader reads the body of one response into memory that it reserves as the bytes
 // arrive. A length that the backend server only announces reserves nothing.
 type bodyReader struct {
-	pool     *memoryPool
-	buf      []byte
-	reserved int64
+	pool         *memoryPool
+	buf          []byte
+	reserved     int64
+	headReserved int64 // for a head beyond the usual size
 }
 
 // read reads r to its end.
@@ -98,9 +102,9 @@
 
 // release returns the reserved memory.
 func (b *bodyReader) release() {
-	if b.reserved > 0 {
-		b.pool.release(b.reserved)
-		b.reserved = 0
+	if n := b.reserved + b.headReserved; n > 0 {
+		b.pool.release(n)
+		b.reserved, b.headReserved = 0, 0
 	}
 }
 
@@ -108,8 +112,8 @@
 // no length and is delimited by the end of the connection. The caller must release
 // body when it no longer needs the response.
 func (c *conn) receiveForward(resp *fasthttp.Response, noBody bool, body *bodyReader) (framed bool, err error) {
-	if err := dghttp.ReadHeader(c.br, &resp.Header); err != nil {
-		return false, headerError(err)
+	if err := c.readForwardHead(resp, body); err != nil {
+		return false, err
 	}
 	status := resp.StatusCode()
 	if noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
@@ -139,6 +143,28 @@
 	return length != lengthIdentity, nil
 }
 
+// readForwardHead reads the head of a response. The server echoes parts of the request, so
+// that a head may be several times as long as the buffer that connections have.
+func (c *conn) readForwardHead(resp *fasthttp.Response, body *bodyReader) error {
+	for {
+		err := dghttp.ReadHeader(c.br, &resp.Header)
+		if err == nil {
+			return nil
+		}
+		var small *fasthttp.ErrSmallBuffer
+		size := 2 * c.br.Size()
+		if !errors.As(err, &small) || size > maxForwardHeadBytes {
+			return headerError(err)
+		}
+		more := int64(size) - body.headReserved
+		if !body.pool.reserve(more) {
+			return wrapBroken(ErrResponseMemory)
+		}
+		body.headReserved += more
+		c.growBuffer(size)
+	}
+}
+
 // noEOF replaces io.EOF by io.ErrUnexpectedEOF: a connection that ends within the
 // trailer of a response truncates the response.
 func noEOF(err error) error {
--- a/dgbackend/conn.go
+++ b/dgbackend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	written int64 // bytes that the kernel accepted
+	grown   bool  // br is larger than usual
 
 	raw      syscall.RawConn
 	readByte func(fd uintptr) bool // created once, so that alive does not allocate
@@ -60,6 +62,14 @@
 	return n, err
 }
 
+// growBuffer replaces the read buffer by one of size bytes. The connection is not reused
+// after that, so that idle connections do not keep large buffers.
+func (c *conn) growBuffer(size int) {
+	buffered, _ := c.br.Peek(c.br.Buffered()) // cannot fail
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.tcp), size)
+	c.grown = true
+}
+
 // alive reports whether an idle connection is open and has no byte to read. A byte to
 // read would belong to the response to an earlier request. alive may consume it, so
 // a connection that is not alive must be closed.
@@ -128,7 +138,7 @@
 // reusable reports whether the connection may carry another request after the
 // complete response resp (B4).
 func (c *conn) reusable(resp *fasthttp.Response) bool {
-	return !resp.ConnectionClose() && c.br.Buffered() == 0
+	return !c.grown && !resp.ConnectionClose() && c.br.Buffered() == 0
 }
 
 // drain closes the sending side, reads until the backend server closes its side,
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -93,6 +93,26 @@
 		Expect(a + b).To(Equal("ab"))
 		Expect(accepted.Load()).To(BeEquivalentTo(1))
 	})
+	It("reads a response whose head is longer than usual, and does not reuse the connection (guards against a request with a long ID that looks like a failure of the replica)", func() {
+		id := strings.Repeat("i", 15000)
+		f, in, accepted := scriptedServer(strings.Replace(okResponse(id, "a"), "Stamp: s", "Stamp: s."+id, 1), okResponse("2", "b"))
+		_, a := sendForward(f, in, id)
+		_, b := sendForward(f, in, "2")
+		Expect(a + b).To(Equal("ab"))
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+	It("reads no response head without end (guards against a backend server that exhausts the memory)", func() {
+		f, in, _ := scriptedServer(strings.Replace(okResponse("1", "a"), "Stamp: s", "Stamp: "+strings.Repeat("s", 70000), 1))
+		kind, _ := sendForward(f, in, "1")
+		Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+	})
+	It("counts a long response head towards the memory for responses", func() {
+		id := strings.Repeat("i", 15000)
+		f, in, _ := scriptedServer(okResponse(id, "a"))
+		f.LimitMemory(8000)
+		kind, _ := sendForward(f, in, id)
+		Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+	})
 	It("discards a response to another request and returns the one that follows (guards against returning a late response to an earlier request)", func() {
 		f, in, _ := scriptedServer(okResponse("other", "wrong") + okResponse("1", "right"))
 		_, body := sendForward(f, in, "1")
--- a/dgbalance/dgbalance.go
+++ b/dgbalance/dgbalance.go
@@ -41,6 +41,9 @@
 //	    unusable. Traffic between zones takes longer and is charged for.
 //	R12 A request may be restricted to groups of replicas, by version, zone or ID
 //	    (dgrollout). Within a group all other rules hold.
+//	R13 A failure that is due to the request, and not to the replica, changes no
+//	    estimate. It counts as a response for R5 and R6. Otherwise one caller could
+//	    take a replica from all others.
 package dgbalance
 
 import (
@@ -130,6 +133,9 @@
 	// ConnectFailed means that no connection could be made, or that the connection
 	// broke before the request was sent.
 	ConnectFailed
+	// Rejected means that the replica responded, or ended the connection, for a reason
+	// that lies in the request (R13).
+	Rejected
 	// Abandoned means that the request was cancelled or passed its deadline; only its
 	// age says something about the replica.
 	Abandoned
--- a/dgbalance/dgbalance_test.go
+++ b/dgbalance/dgbalance_test.go
@@ -166,6 +166,34 @@
 		f.b.Done(ms(4002), route, &a, dgbalance.Answered)
 		Expect(f.b.Availability(ms(4003), svc)).To(Equal(dgbalance.Usable))
 	})
+	It("R13 learns nothing from a failure that is due to the request (guards against a caller that takes a replica from all others)", func() {
+		f := newFixture()
+		for at := range 20 {
+			f.request(ms(at*20), constantLatency, dgbalance.Answered)
+		}
+		typical := f.b.TypicalLatency(route, 0)
+		for at := 400; at < 600; at += 5 {
+			a, _, err := f.b.Pick(ms(at), route, svc, []dandeliongap.InstanceID{"b"}, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(f.b.Done(ms(at+1), route, &a, dgbalance.Rejected)).To(Equal(dgbalance.Unchanged))
+		}
+		Expect(f.b.TypicalLatency(route, 0)).To(Equal(typical))
+		count := 0
+		for at := 600; at < 1600; at += 20 {
+			if f.request(ms(at), constantLatency, dgbalance.Answered) == "a" {
+				count++
+			}
+		}
+		Expect(count).To(BeNumerically(">=", 15), "of 50 requests")
+	})
+	It("R13 takes such a failure for a response (guards against a replica that counts as unresponsive although it responds)", func() {
+		f := newFixture()
+		f.update(0, newInstance("a"))
+		for at := 0; at < 2000; at += 50 {
+			Expect(f.request(ms(at), constantLatency, dgbalance.Rejected)).To(Equal("a"))
+		}
+		Expect(f.b.Availability(ms(2000), svc)).To(Equal(dgbalance.Usable))
+	})
 	It("R6 sends an unresponsive replica one request per ProbeInterval (guards against all callers waiting for it)", func() {
 		f := newFixture()
 		f.update(0, newInstance("a"))
--- a/dgbalance/learn.go
+++ b/dgbalance/learn.go
@@ -56,6 +56,8 @@
 	case Failed:
 		b.recordSample(now, route, r, max(took, b.TypicalLatency(route, 0)), 1)
 		r.backoff = 0
+	case Rejected:
+		r.backoff = 0
 	case ConnectFailed:
 		r.backoff = min(max(initialBackoff, 2*r.backoff), maxBackoff)
 		r.backoffUntil = now.Add(r.backoff)
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -37,6 +37,7 @@
 	arrived   dandeliongap.Instant
 	deadline  dandeliongap.Instant
 	forward   *dgbackend.ForwardRequest // the request as replicas receive it
+	unusual   bool                      // servers may refuse its head or fail on it
 }
 
 // sharded reports whether the response is merged from the parts of several shards.
@@ -139,6 +140,9 @@
 	if errors.Is(bodyErr, errBodyTooLarge) || limits.BodyBytes > 0 && len(body) > limits.BodyBytes {
 		return req, dgadmit.TooLarge(e.bodyLimit())
 	}
+	if name := invalidName(h); name != "" {
+		return req, dgadmit.Invalid(fmt.Sprintf("invalid header name %q", clip(name)))
+	}
 	req.deadline = now.Add(limit)
 	req.shards = r.Shards
 	if !req.sharded() {
@@ -147,6 +151,7 @@
 		e.mu.Unlock()
 	}
 	req.forward = e.newForward(ctx, req, body, v.accounts != nil)
+	req.unusual = unusualHead(h, req.forward.Head)
 	return req, dgadmit.Refusal{}
 }
 
@@ -204,7 +209,7 @@
 	for k, val := range h.All() {
 		name := strings.ToLower(string(k))
 		if connectionHeaders[name] || strings.EqualFold(name, e.opt.Dialect.Backend.Deadline) ||
-			strings.EqualFold(name, e.opt.Dialect.Backend.ExpectedInstance) || connection != "" && namedInConnection(connection, name) ||
+			strings.EqualFold(name, e.opt.Dialect.Backend.ExpectedInstance) || e.droppedByConnection(connection, name) ||
 			accounts && e.ownedByAccounts(name) {
 			continue
 		}
@@ -222,6 +227,13 @@
 	return &dgbackend.ForwardRequest{Head: b.Bytes(), Body: body, ID: req.id, Idempotent: req.route.Idempotent, NoBody: h.IsHead()}
 }
 
+// droppedByConnection reports whether a header is not forwarded because a Connection header
+// names it. Host and the request ID are always forwarded: a request without them cannot be
+// answered. Both texts are in lower case.
+func (e *Edge) droppedByConnection(connection, name string) bool {
+	return connection != "" && name != "host" && !strings.EqualFold(name, e.opt.Dialect.Backend.RequestID) && namedInConnection(connection, name)
+}
+
 // namedInConnection reports whether the value of a Connection header lists the header
 // called name, which makes it a header of that connection only. Both are in lower case.
 func namedInConnection(connection, name string) bool {
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -233,8 +233,11 @@
 func (ex *execution) classify(r *dgbackend.Reply, now dandeliongap.Instant) dgbalance.Result {
 	switch r.Kind {
 	case dgbackend.ReplyAnswered:
-		if r.Resp.StatusCode() >= fasthttp.StatusInternalServerError {
-			return dgbalance.Failed
+		switch {
+		case ex.rejected(r.Resp):
+			return dgbalance.Rejected
+		case r.Resp.StatusCode() >= fasthttp.StatusInternalServerError:
+			return ex.failure()
 		}
 		return dgbalance.Answered
 	case dgbackend.ReplyNotRun:
@@ -250,7 +253,10 @@
 		if errors.Is(r.Err, os.ErrDeadlineExceeded) || now >= ex.req.deadline {
 			return dgbalance.Abandoned
 		}
-		return dgbalance.Failed
+		if errors.Is(r.Err, dgbackend.ErrResponseMemory) {
+			return dgbalance.Rejected // the memory is that of this VM
+		}
+		return ex.failure()
 	}
 }
 
