Play client accounts in the soak

The soak had no accounts, so that real processes never showed whether keys and quotas hold under faults.

New steps remove and add keys, make an account hot and lower a limit; new promises K19 to K22 cover keys and account names at backend servers, removed keys, quotas over all VMs and valid keys. The steps of existing kinds keep their times and their random source.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -143,6 +143,8 @@
 		s.opt.Platform.WriteOdd(int(step.Target))
 	case TakeOutZone:
 		err = s.takeOut(zones[int(step.Target)%len(zones)], step.For)
+	case RemoveKey, AddKey, HeatAccount, LowerLimit:
+		err = s.applyToAccount(step)
 	}
 	return err
 }
--- a/dgsoak/callers.go
+++ b/dgsoak/callers.go
@@ -20,12 +20,17 @@
 	// stickyArchiveShare is the share of the requests of sticky callers that go to the
 	// archive.
 	stickyArchiveShare = 0.4
+	// publicShare is the share of the orders that go to the public route instead, in
+	// seeds with accounts.
+	publicShare = 0.3
+	// forgeShare is the share of the requests that state the name of an account.
+	forgeShare = 0.3
 )
 
 // deadlines are the times that callers wait for responses.
 var deadlines = map[dandeliongap.RouteName]time.Duration{
 	routeSearch: 1200 * time.Millisecond, routeFetch: 1500 * time.Millisecond, routeOrder: 2 * time.Second,
-	routeArchive: 5 * time.Second,
+	routeArchive: 5 * time.Second, routePublic: 1500 * time.Millisecond,
 }
 
 // callerState is one caller: it sends a request at a time.
@@ -46,7 +51,7 @@
 	for !c.s.callersDone() {
 		begin := c.s.now()
 		c.send()
-		wait := time.Duration(c.rng.ExpFloat64()*float64(interval)) - c.s.now().Sub(begin)
+		wait := time.Duration(c.rng.ExpFloat64()*float64(interval)/c.s.operator.speed(c.number, begin)) - c.s.now().Sub(begin)
 		time.Sleep(max(0, wait))
 	}
 }
@@ -86,10 +91,22 @@
 	case p < searchShare+fetchShare:
 		name, method, body = routeFetch, "GET", ""
 	}
+	key, forge := "", ForgeNothing
+	if c.s.operator.hasAccounts() {
+		key = c.s.operator.keyOf(c.number)
+		if name == routeOrder && c.rng.Float64() < publicShare {
+			name, method, body = routePublic, "GET", ""
+		}
+		if c.rng.Float64() < forgeShare {
+			forge = 1 + Forge(c.rng.IntN(int(forges-1)))
+		}
+	}
 	route := routeNamed(c.s.operator.newest(), name)
 	return Exchange{
-		Request: Request{ID: id, Method: method, Host: host, Path: fmt.Sprintf("%s%d", route.Prefix, c.sent), Body: body, Deadline: deadlines[name]},
-		Route:   route,
+		Request: Request{
+			ID: id, Method: method, Host: host, Path: fmt.Sprintf("%s%d", route.Prefix, c.sent), Body: body, Deadline: deadlines[name], Key: key, Forge: forge,
+		},
+		Route: route,
 	}
 }
 
--- a/dgsoak/check.go
+++ b/dgsoak/check.go
@@ -23,6 +23,7 @@
 	c.checkAttempts()
 	c.checkConfigurations(untimed)
 	c.checkUsages()
+	c.checkAccounts(untimed)
 	c.checkService()
 	if !untimed {
 		c.checkBudget()
@@ -32,6 +33,7 @@
 		c.checkStops()
 		c.checkDeadlines()
 		c.checkRestores()
+		c.checkQuotas()
 	}
 	c.violations = append(c.violations, l.Found...)
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
--- a/dgsoak/check_test.go
+++ b/dgsoak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -315,6 +316,194 @@
 	}
 }
 
+const key, otherKey = dgsoak.KeyPrefix + "1", dgsoak.KeyPrefix + "2"
+
+// accounts returns accounts of which the first one has keys.
+func accounts(rate float64, keys ...string) []dandeliongap.Account {
+	return []dandeliongap.Account{{Name: "first", Keys: keys, Rate: rate, Burst: rate}, {Name: "second", Keys: []string{otherKey}}}
+}
+
+// newAccountScene returns a scene in which all requests have the key of an account.
+func newAccountScene() *scene {
+	s := newScene()
+	s.Publications[0].Config.Accounts = accounts(2, key)
+	for id := range s.Exchanges {
+		s.setKey(id, key, "first")
+	}
+	return s
+}
+
+// setKey sets the key of a request and the accounts that backend servers see.
+func (s *scene) setKey(id dgsoak.RequestID, key string, accounts ...string) {
+	s.Exchanges[id].Key = key
+	for n, a := range s.Arrivals {
+		if a.Request == id {
+			a.Accounts = accounts
+			s.Arrivals[n] = a
+		}
+	}
+}
+
+// publish adds a configuration that differs from the first one in its accounts.
+func (s *scene) publish(now time.Duration, accounts []dandeliongap.Account) {
+	cfg := config(0)
+	cfg.Number, cfg.Accounts = uint64(len(s.Publications)), accounts
+	s.Publications = append(s.Publications, dgsoak.Publication{At: at(now), Config: cfg})
+}
+
+// crowd adds requests of the first account that are sent at a time and run right after it.
+func (s *scene) crowd(n int, sent time.Duration) {
+	for i := range n {
+		id := dgsoak.RequestID(fmt.Sprint("crowd-", sent, "-", i))
+		s.serve(id, "fetch", sent)
+		s.setKey(id, key, "first")
+	}
+}
+
+// TestCheckAccounts guards against a check of accounts that misses a broken promise, or that
+// takes for one what is allowed.
+func TestCheckAccounts(t *testing.T) {
+	second := time.Second
+	disturb := func(s *scene, vm dandeliongap.VMName, what dgsoak.Kind, from, to time.Duration) {
+		s.Disturbances = append(s.Disturbances, dgsoak.Disturbance{VM: vm, From: at(from), To: at(to), What: what.String()})
+	}
+	refuse := func(s *scene, id dgsoak.RequestID) {
+		s.Exchanges[id].Response = dgsoak.Response{Status: 401}
+		for n, a := range s.Arrivals {
+			if a.Request == id {
+				delete(s.Arrivals, n)
+			}
+		}
+	}
+	// public makes the route of a request public.
+	public := func(s *scene, id dgsoak.RequestID) { s.Exchanges[id].Route.Public = true }
+	// keep moves all requests that are sent after a time to the other key, but one.
+	keep := func(s *scene, from time.Duration, kept dgsoak.RequestID) {
+		for id, x := range s.Exchanges {
+			if x.SentAt > at(from) && id != kept {
+				s.setKey(id, otherKey, "second")
+			}
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		want    string // the broken promise; "" if none is
+		untimed string // the same, if those with a time bound are left out
+		change  func(*scene)
+	}{
+		{"all is well", "", "", func(*scene) {}},
+		{"a key at a backend server", "K19", "K19", func(s *scene) { s.change("fetchB", func(a *dgsoak.Arrival) { a.SawKey = true }) }},
+		{"another account than that of the key", "K19", "K19", func(s *scene) { s.setKey("fetchB", key, "second") }},
+		{"the account of another key", "", "", func(s *scene) { s.setKey("fetchB", otherKey, "second") }},
+		{"the account beside another one", "K19", "K19", func(s *scene) { s.setKey("fetchB", key, "first", "second") }},
+		{"no account", "K19", "K19", func(s *scene) { s.setKey("fetchB", key) }},
+		{"no account on a public route", "", "", func(s *scene) { public(s, "fetchB"); s.setKey("fetchB", "") }},
+		{"an account without a key on a public route", "K19", "K19", func(s *scene) { public(s, "fetchB"); s.setKey("fetchB", "", "first") }},
+		{"a request without a key", "K20", "K20", func(s *scene) { s.setKey("fetchB", "") }},
+		{"a request with an unknown key", "K20", "K20", func(s *scene) { s.setKey("fetchB", "?") }},
+		{"a request long after its key was removed", "K20", "", func(s *scene) {
+			s.publish(20500*time.Millisecond, accounts(2))
+			keep(s, 20*second, "fetchZ") // sent at 25 s
+			s.Exchanges["fetchZ"].SentAt = at(25600 * time.Millisecond)
+			s.change("fetchZ", func(a *dgsoak.Arrival) { a.At = at(25610 * time.Millisecond) })
+		}},
+		{"a request soon after its key was removed", "", "", func(s *scene) {
+			s.publish(20500*time.Millisecond, accounts(2))
+			keep(s, 20*second, "fetchZ")
+		}},
+		{"a request long after its key was removed, by a VM that a fault touched", "", "", func(s *scene) {
+			s.publish(18500*time.Millisecond, accounts(2))
+			keep(s, 18*second, "fetchZ")
+			disturb(s, "vm", dgsoak.CutStore, 19*second, 20*second)
+		}},
+		{"a request after its key was removed and added again", "", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(2))
+			s.publish(12500*time.Millisecond, accounts(2, key))
+		}},
+		{"more requests of an account than its quota", "K21", "", func(s *scene) { s.crowd(19, 20500*time.Millisecond) }},
+		{"as many requests of an account as its quota allows", "", "", func(s *scene) { s.crowd(18, 20500*time.Millisecond) }},
+		{"more requests of an account in faults", "K21", "", func(s *scene) {
+			s.crowd(19, 20500*time.Millisecond)
+			disturb(s, "", dgsoak.FaultStore, 15*second, 25*second)
+			disturb(s, "vm", dgsoak.CutPeers, 15*second, 25*second)
+		}},
+		{"more requests of an account that take long", "", "", func(s *scene) {
+			s.crowd(19, 20500*time.Millisecond)
+			for n, a := range s.Arrivals { // the ones sent before the window may have been admitted before it
+				if x := s.Exchanges[a.Request]; a.At > at(20*second) && a.At < at(21*second) {
+					x.SentAt = at(14 * second)
+					x.Deadline = 10 * second
+					s.Arrivals[n] = a
+				}
+			}
+		}},
+		{"more requests of an account on a public route", "", "", func(s *scene) {
+			s.crowd(40, 20500*time.Millisecond)
+			for id, x := range s.Exchanges {
+				x.Route.Public = x.Route.Public || x.SentAt == at(20500*time.Millisecond)
+				_ = id
+			}
+		}},
+		{"requests that exceed a lower limit", "K21", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(0.1, key))
+			s.crowd(8, 15600*time.Millisecond)
+		}},
+		{"requests that exceed a lower limit soon after it", "", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(0.1, key))
+			s.crowd(8, 15400*time.Millisecond)
+		}},
+		{"requests that exceed a lower limit that a fault kept from VMs", "", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(0.1, key))
+			s.crowd(8, 15600*time.Millisecond)
+			disturb(s, "vm", dgsoak.CutStore, 11*second, 12*second)
+		}},
+		{"requests that exceed a lower limit after another VM was killed", "K21", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(0.1, key))
+			s.crowd(8, 15600*time.Millisecond)
+			disturb(s, "other", dgsoak.KillVM, 11*second, 12*second)
+		}},
+		{"a valid key that is refused", "K22", "K22", func(s *scene) { refuse(s, "fetchB") }},
+		{"a valid key that is refused in faults", "K22", "K22", func(s *scene) {
+			refuse(s, "fetchB")
+			disturb(s, "", dgsoak.FaultStore, 0, 3*second)
+		}},
+		{"a missing key that is refused", "", "", func(s *scene) { refuse(s, "fetchB"); s.setKey("fetchB", "") }},
+		{"a new key that is refused", "K22", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(2, key, "new"))
+			refuse(s, "fetchQ") // sent at 16 s
+			s.setKey("fetchQ", "new")
+		}},
+		{"a new key that is refused at once", "", "", func(s *scene) {
+			s.publish(11500*time.Millisecond, accounts(2, key, "new"))
+			refuse(s, "fetchQ")
+			s.setKey("fetchQ", "new")
+		}},
+		{"a new key that is refused by a VM that a fault touched", "", "", func(s *scene) {
+			s.publish(10500*time.Millisecond, accounts(2, key, "new"))
+			refuse(s, "fetchQ")
+			s.setKey("fetchQ", "new")
+			disturb(s, "vm", dgsoak.CutStore, 11*second, 12*second)
+		}},
+		{"a removed key that is refused", "", "", func(s *scene) {
+			s.publish(15900*time.Millisecond, accounts(2))
+			keep(s, 15500*time.Millisecond, "fetchQ")
+			refuse(s, "fetchQ")
+		}},
+	} {
+		for _, untimed := range []bool{false, true} {
+			s := newAccountScene()
+			c.change(s)
+			want := c.want
+			if untimed {
+				want = c.untimed
+			}
+			if got := broken(s, untimed); want == "" && len(got) > 0 || want != "" && !slices.Equal(got, []string{want}) {
+				t.Errorf("%s (untimed %t): broken %v, want %q", c.name, untimed, got, want)
+			}
+		}
+	}
+}
+
 // TestCheckUntimed guards against a verdict that depends on the speed of the machine.
 func TestCheckUntimed(t *testing.T) {
 	s := newScene()
@@ -345,7 +534,7 @@
 			}
 		}
 	}
-	for k := dgsoak.KillVM; k <= dgsoak.RestoreStore; k++ {
+	for k := dgsoak.KillVM; k <= dgsoak.LowerLimit; k++ {
 		if !seen[k] {
 			t.Errorf("kind %s is never drawn", k)
 		}
--- a/dgsoak/doc.go
+++ b/dgsoak/doc.go
@@ -29,8 +29,20 @@
 //	K18  While writers write again after that, it sends none to a zone that was out of
 //	     service before.
 //
-// K7 to K12, K14 and K16 to K18 have time bounds, which a busy machine may break. K8 to K12
-// and K16 hold for VMs that no fault has touched for Bounds.Stable, K17 and K18 for those that
+//	K19  No backend server sees a key, or another account than that of the key, whatever the
+//	     caller sent.
+//	K20  Bounds.Revoke after a key was removed no request with it runs. One with a key that
+//	     was never known, or with none, never does, except on a public route.
+//	K21  In no Bounds.Quota.Window run more requests of an account than
+//	     (rate x window + burst) x (1 + overshoot) + slack, over all VMs, faults or not.
+//	K22  A request with a valid key is not refused for its key.
+//
+// K7 to K12, K14, K16 to K18, K20 and K21 have time bounds, which a busy machine may break. K8 to K12,
+// K16 and K20 hold for VMs that no fault has touched for Bounds.Stable, K17 and K18 for those that
 // none had touched before the restore. K11 holds around a restore too: no VM goes back to the
-// configuration of the copy.
+// configuration of the copy. A lower limit (K21) is binding in windows that begin
+// Bounds.AccountApply after the configuration, without the time in which a fault kept
+// configurations from VMs. A request counts for a window if it was both sent and read by a
+// backend server in it. K22 holds with faults too, but for keys added less than
+// Bounds.AccountApply ago or to VMs that faults have touched since.
 package dgsoak
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandeliongap.example/dandeliongap"
+	"dandeliongap.example/dandeliongap/dgquota"
 )
 
 // Exchange is a request of a caller and the response.
@@ -73,7 +74,7 @@
 
 // Violation is a broken promise.
 type Violation struct {
-	Promise string // K1 to K18
+	Promise string // K1 to K22
 	At      dandeliongap.Instant
 	Text    string
 }
@@ -160,7 +161,10 @@
 	RetryWindow                              time.Duration
 	MemoryBytes                              int64
 	Descriptors                              int
-	ServedShare                              float64 // of the requests after Recover (K14)
+	ServedShare                              float64       // of the requests after Recover (K14)
+	Revoke                                   time.Duration // after which a removed key is not accepted
+	AccountApply                             time.Duration // after which keys and limits are in force
+	Quota                                    dgquota.Bounds
 }
 
 // DefaultBounds are those of the deployments in use: six VMs.
@@ -170,5 +174,6 @@
 		Grace: 6 * time.Second, Recover: 12 * time.Second, Stable: 4 * time.Second, ResponseSlack: 500 * time.Millisecond,
 		PauseSlack: 500 * time.Millisecond, LossSlack: 200 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second,
 		MemoryBytes: 184 << 20, Descriptors: 4100, ServedShare: 0.25,
+		Revoke: 5 * time.Second, AccountApply: 5 * time.Second, Quota: dgquota.DefaultBounds,
 	}
 }
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -128,6 +128,8 @@
 	Method   string
 	Path     string
 	Body     string
+	Accounts []string // names of accounts that the head or the trailer states
+	SawKey   bool     // the head or the trailer has a text with KeyPrefix
 	Ran      bool
 	// Misdirected reports that the request was for another instance and was refused.
 	Misdirected bool
@@ -145,8 +147,30 @@
 	Path     string
 	Body     string
 	Deadline time.Duration
+	Key      string // of an account; "": none
+	Forge    Forge
 }
 
+// KeyPrefix begins every key, so that servers recognize keys wherever they appear.
+const KeyPrefix = "soak-key-"
+
+// ForgedAccount is the name of an account that callers state in vain.
+const ForgedAccount = "forged"
+
+// Forge is how a caller states the name of an account.
+type Forge uint8
+
+// Ways to state the name of an account.
+const (
+	ForgeNothing    Forge = iota
+	ForgeHeader           // in the header that VMs set
+	ForgeTwice            // in two of them, in other letter cases
+	ForgeConnection       // in a header that Connection names
+	ForgeUnderscore       // in a header with underscores in place of hyphens
+	ForgeTrailer          // after the body, if there is one
+	forges                // number of ways
+)
+
 // MissingUnreadable is the value of Response.Missing if the response states no number. It
 // fits no configuration (K2).
 const MissingUnreadable = -1
@@ -163,7 +187,7 @@
 // Promised reports whether the response promises that the request has not run.
 func (r Response) Promised() bool {
 	switch r.Status {
-	case 408, 421, 429, 503:
+	case 401, 408, 421, 429, 503:
 		return true
 	}
 	return false
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -44,6 +44,10 @@
 	Reshard                     // the index has another set of shards
 	WriteOddEntries             // among the registrations
 	RestoreStore                // from a copy that is some seconds old
+	RemoveKey                   // of an account, whose callers go on sending it for a while
+	AddKey                      // to an account, whose callers send it at once
+	HeatAccount                 // its callers send several times its rate
+	LowerLimit                  // of an account, far below what its callers send, and return it
 	kinds                       // number of kinds
 
 	lastVMKind     = LosePeers
@@ -54,7 +58,7 @@
 	"kill VM", "stop VM", "pause VM", "reload VM", "kill all VMs", "faulty store", "store forgets history", "store cut off", "store connections reset",
 	"callers delayed", "caller connections reset", "answers silenced", "VM cut off from others", "heartbeats lost", "faulty server", "faulty service", "server cut off", "server connections reset",
 	"server throttled", "server crash", "server drained", "server vanishes", "server leaves", "address reused", "zone taken out", "configuration change",
-	"configuration storm", "new set of shards", "odd entries", "store restored",
+	"configuration storm", "new set of shards", "odd entries", "store restored", "key removed", "key added", "hot account", "limit lowered",
 }
 
 // String returns the name of the kind.
@@ -65,7 +69,7 @@
 	Kind    Kind
 	At      time.Duration // since the first request
 	For     time.Duration // for kinds that end
-	Target  uint32        // selects the VM, server or zone
+	Target  uint32        // selects the VM, server, zone or account
 	Variant uint32        // selects the fault of the store or of a server
 }
 
@@ -98,6 +102,7 @@
 		})
 	}
 	out = append(out, drawRestores(seed, length)...)
+	out = append(out, drawAccounts(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -122,6 +127,31 @@
 	return out
 }
 
+// Four of accountSeeds seeds have accounts. The others show that nothing changes without them.
+const accountSeeds = 5
+
+// accountInterval is the mean time between two steps of accounts.
+const accountInterval = 4 * time.Second
+
+// HasAccounts reports whether the configurations of a seed have accounts.
+func HasAccounts(seed uint64) bool { return seed%accountSeeds != 0 }
+
+// drawAccounts returns the steps of accounts, from a source of their own like those of
+// drawRestores.
+func drawAccounts(seed uint64, length time.Duration) (out []Step) {
+	if !HasAccounts(seed) || length <= firstStep {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 2<<32))
+	for range int(length / accountInterval) {
+		out = append(out, Step{
+			Kind: RemoveKey + Kind(rng.IntN(int(LowerLimit-RemoveKey)+1)), At: firstStep + time.Duration(rng.Int64N(int64(length-firstStep))),
+			For: shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))), Target: rng.Uint32(),
+		})
+	}
+	return out
+}
+
 // storeFault returns the fault of the store that the step selects.
 func (s Step) storeFault() StoreFault { return StoreFault(1 + s.Variant%uint32(storeFaults-1)) }
 
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -129,9 +129,17 @@
 			}
 		}
 	}
+	if HasAccounts(s.opt.Seed) {
+		s.operator.accounts = newAccounts()
+	}
 	if err := s.operator.publish(false); err != nil {
 		return err
 	}
+	if s.operator.hasAccounts() {
+		if err := s.operator.removeFirstKey(); err != nil {
+			return err
+		}
+	}
 	for i := range s.opt.VMs {
 		v, err := s.newVM(i)
 		if err != nil {
@@ -163,7 +171,7 @@
 func (s *soak) newVM(i int) (*vm, error) {
 	v := &vm{
 		name: dandeliongap.VMName(fmt.Sprint("vm-", i)), zone: zones[i%len(zones)], program: s.opt.Program, dir: s.opt.Dir,
-		bounds: s.opt.Bounds, now: s.now, ledger: &s.ledger, stopping: s.ending.Load,
+		bounds: s.opt.Bounds, now: s.now, ledger: &s.ledger, stopping: s.ending.Load, accounts: s.operator.hasAccounts(),
 	}
 	for _, addr := range []*string{&v.ports.entry, &v.ports.ready, &v.ports.directory, &v.ports.gossip} {
 		a, err := FreeAddress()
@@ -243,6 +251,11 @@
 	for _, kind := range []Kind{TakeOutZone, ChangeConfig} {
 		wg.Go(func() { s.apply(Step{Kind: kind, Target: target, For: shortestStep}) })
 	}
+	if s.operator.hasAccounts() {
+		for i, kind := range []Kind{LowerLimit, HeatAccount, RemoveKey} {
+			wg.Go(func() { s.apply(Step{Kind: kind, Target: target%limitedAccounts + uint32(i), For: shortestStep}) })
+		}
+	}
 	for i := range min(rollingStops, len(s.vms)) {
 		wg.Go(func() { s.apply(Step{Kind: StopVM, Target: target + uint32(i)}) })
 		time.Sleep(stopInterval)
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -40,6 +40,7 @@
 	// routeArchive leads to one service whose requests take long. Their deadline lies after
 	// the end of a stop.
 	routeArchive dandeliongap.RouteName = "archive"
+	routePublic  dandeliongap.RouteName = "public" // to the service of orders, needs no key
 )
 
 const (
@@ -77,16 +78,24 @@
 	now      func() dandeliongap.Instant
 	number   uint64
 	set      int // of shards
+	accounts []*account
 }
 
 // publish puts the next configuration into force. reshard makes it name the other set of
 // shards.
 func (o *operator) publish(reshard bool) error {
+	return o.change(func() {
+		if reshard {
+			o.set = 1 - o.set
+		}
+	})
+}
+
+// change changes what the configuration follows from and puts the next one into force.
+func (o *operator) change(fn func()) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if reshard {
-		o.set = 1 - o.set
-	}
+	fn()
 	o.number++
 	cfg := o.config()
 	if err := o.platform.Publish(cfg); err != nil {
@@ -112,7 +121,11 @@
 	fetch := dandeliongap.Route{Name: routeFetch, Prefix: "/fetch/", Idempotent: true, LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: fetchName(int(o.number % fetchServices))}
 	order := dandeliongap.Route{Name: routeOrder, Prefix: "/order/", LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: ordersService}
 	archive := dandeliongap.Route{Name: routeArchive, Prefix: "/archive/", Idempotent: true, LatencyObjective: 2 * time.Second, Priority: 2, Service: archiveService}
-	for _, r := range []dandeliongap.Route{search, fetch, order, archive} {
+	public := dandeliongap.Route{Name: routePublic, Prefix: "/public/", Idempotent: true, LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: ordersService, Public: true}
+	for _, a := range o.accounts {
+		cfg.Accounts = append(cfg.Accounts, a.configured())
+	}
+	for _, r := range []dandeliongap.Route{search, fetch, order, archive, public} {
 		r.Host, r.Timeout, r.MaxAttempts = host, max(deadlines[r.Name], 2*time.Second), 2
 		cfg.Routes = append(cfg.Routes, r)
 	}
--- a/dgsoak/vm.go
+++ b/dgsoak/vm.go
@@ -34,6 +34,7 @@
 	now      func() dandeliongap.Instant
 	ledger   *Ledger
 	stopping func() bool // the soak ends
+	accounts bool        // the configurations have accounts
 
 	stepMu sync.Mutex // held by a step that ends the process, until the next one has started
 
@@ -61,6 +62,10 @@
 	} {
 		fmt.Fprintf(&b, "%s = %s\n", line[0], line[1])
 	}
+	if q := v.bounds.Quota; v.accounts {
+		fmt.Fprintf(&b, "quota window s = %g\nquota overshoot = %g\nquota slack = %g\n", q.Window.Seconds(), q.Overshoot, q.Slack)
+		fmt.Fprintf(&b, "revoke time ms = %d\nconfig time ms = %d\n", v.bounds.Revoke.Milliseconds(), v.bounds.AccountApply.Milliseconds())
+	}
 	return "[edge]\n" + b.String()
 }
 
