Play rollouts in the soak

The soak had one version of all backend servers, so that real processes never moved traffic between versions under faults.

New steps order a good version, order a bad one, withdraw an order and start servers of a version that nobody orders; new promises K23 to K25 cover the exposure to a bad version, old servers when an order is completed, and versions that nobody ordered. The report has the outcome of each order.

go test -race ./dgsoak ./platform/dgfleet ./dgcommand passes.

--- a/dgsoak/apply.go
+++ b/dgsoak/apply.go
@@ -145,6 +145,8 @@
 		err = s.takeOut(zones[int(step.Target)%len(zones)], step.For)
 	case RemoveKey, AddKey, HeatAccount, LowerLimit:
 		err = s.applyToAccount(step)
+	case OrderGood, OrderBad, OrderWithdrawn, StartUnordered:
+		err = s.rollOut(step)
 	}
 	return err
 }
@@ -215,7 +217,7 @@
 		}
 		s.crash(b)
 		time.Sleep(min(step.For, addressReuse))
-		err := s.fleet.start(in.Service, in.Zone, b.path)
+		err := s.fleet.start(in.Service, in.Zone, in.Software, b.path)
 		s.remove(b)
 		return err
 	case ReuseAddress:
@@ -223,14 +225,14 @@
 			return nil
 		}
 		s.crash(b)
-		if err := s.fleet.start(in.Service, in.Zone, nil); err != nil {
+		if err := s.fleet.start(in.Service, in.Zone, in.Software, nil); err != nil {
 			return err
 		}
 		time.Sleep(addressReuse)
 		all := services()
 		other := all[int(step.Variant)%len(all)]
 		defer func() { record(&s.ledger, &s.ledger.Troubles, Trouble{other, from, s.now()}) }()
-		err := s.fleet.start(other, in.Zone, b.path)
+		err := s.fleet.start(other, in.Zone, "", b.path)
 		time.Sleep(registrationAge - addressReuse)
 		s.remove(b)
 		return err
@@ -265,7 +267,7 @@
 	if !s.fleet.retire(b) {
 		return nil
 	}
-	if err := s.fleet.start(b.instance.Service, b.instance.Zone, nil); err != nil {
+	if err := s.fleet.start(b.instance.Service, b.instance.Zone, b.instance.Software, nil); err != nil {
 		return err
 	}
 	switch kind {
--- a/dgsoak/check.go
+++ b/dgsoak/check.go
@@ -24,6 +24,7 @@
 	c.checkConfigurations(untimed)
 	c.checkUsages()
 	c.checkAccounts(untimed)
+	c.checkRollouts(untimed)
 	c.checkService()
 	if !untimed {
 		c.checkBudget()
--- a/dgsoak/check_test.go
+++ b/dgsoak/check_test.go
@@ -504,6 +504,107 @@
 	}
 }
 
+// newRolloutScene returns a scene with an order to move the traffic of f0 to the version of
+// the server i-new.
+func newRolloutScene(state dandeliongap.RolloutState, stateAt time.Duration) (*scene, *dgsoak.Order) {
+	s := newScene()
+	s.Instances["i-new"] = dandeliongap.Instance{ID: "i-new", Service: "f0", Zone: "z2", Software: "new"}
+	s.RegisteredAt = map[dandeliongap.InstanceID]dandeliongap.Instant{"i-new": at(19 * time.Second)}
+	o := &dgsoak.Order{Service: "f0", Version: "new", At: at(20 * time.Second), Deadline: at(35 * time.Second), State: state, StateAt: at(stateAt)}
+	s.Orders = append(s.Orders, o)
+	return s, o
+}
+
+// try adds requests of the fetch route that are sent at a time and run at i-new.
+func (s *scene) try(n int, sent time.Duration) {
+	for i := range n {
+		id := dgsoak.RequestID(fmt.Sprint("try-", sent, "-", i))
+		s.serve(id, "fetch", sent)
+		s.change(id, func(a *dgsoak.Arrival) { a.Instance = "i-new" })
+	}
+}
+
+// TestCheckRollouts guards against a check of rollouts that misses a broken promise, or that
+// takes for one what is allowed.
+func TestCheckRollouts(t *testing.T) {
+	second := time.Second
+	// move moves the requests to f0 that are sent after a time to i-new.
+	move := func(s *scene, after time.Duration) {
+		for n, a := range s.Arrivals {
+			if a.Instance == "i-f0" && s.Exchanges[a.Request].SentAt > at(after) {
+				a.Instance = "i-new"
+				s.Arrivals[n] = a
+			}
+		}
+	}
+	// linger makes the response to the request that is sent at 30 s come at 31 s.
+	linger := func(s *scene) {
+		s.change("fetch_", func(a *dgsoak.Arrival) { a.AnsweredAt = at(31 * second) })
+	}
+	fault := func(s *scene, from, to time.Duration) {
+		s.Disturbances = append(s.Disturbances, dgsoak.Disturbance{VM: "vm", From: at(from), To: at(to)})
+	}
+	for _, c := range []struct {
+		name    string
+		want    string // the broken promise; "" if none is
+		untimed string // the same, if those with a time bound are left out
+		change  func(*scene, *dgsoak.Order)
+	}{
+		{"a good version gets many requests", "", "", func(s *scene, _ *dgsoak.Order) { s.try(80, 25*second) }},
+		{"a bad version gets more requests than allowed", "K23", "K23", func(s *scene, o *dgsoak.Order) { o.Bad = true; s.try(58, 25*second) }},
+		{"a bad version gets as many requests as allowed", "", "", func(s *scene, o *dgsoak.Order) { o.Bad = true; s.try(57, 25*second) }},
+		{"a bad version gets more requests than allowed in faults", "K23", "K23", func(s *scene, o *dgsoak.Order) {
+			o.Bad = true
+			s.try(58, 25*second)
+			fault(s, 15*second, 30*second)
+		}},
+		{"all requests at the new version when the order is completed", "", "", func(s *scene, o *dgsoak.Order) {
+			o.State = dandeliongap.RolloutCompleted
+			move(s, 28*second)
+		}},
+		{"requests to an old version after the order was completed", "K24", "", func(_ *scene, o *dgsoak.Order) { o.State = dandeliongap.RolloutCompleted }},
+		{"requests to an old version after the order was rolled back", "", "", func(*scene, *dgsoak.Order) {}},
+		{"a request at an old version when the order is completed", "K24", "", func(s *scene, o *dgsoak.Order) {
+			o.State = dandeliongap.RolloutCompleted
+			move(s, 30*second)
+			linger(s)
+		}},
+		{"a request at an old version when the order is completed, by a VM that a fault touched", "", "", func(s *scene, o *dgsoak.Order) {
+			o.State = dandeliongap.RolloutCompleted
+			move(s, 30*second)
+			linger(s)
+			fault(s, 28*second, 29*second)
+		}},
+		{"a version that nobody ordered", "K25", "", func(s *scene, _ *dgsoak.Order) {
+			s.Orders = nil
+			s.try(1, 25*second)
+		}},
+		{"a version before its order", "K25", "", func(s *scene, _ *dgsoak.Order) { s.try(1, 19500*time.Millisecond) }},
+		{"a version that nobody ordered, by a process that began later", "", "", func(s *scene, _ *dgsoak.Order) {
+			s.Orders = nil
+			s.try(1, 25*second)
+			s.Exchanges["try-25s-0"].Process = 2
+		}},
+		{"a version that nobody ordered while the other servers are faulty", "", "", func(s *scene, _ *dgsoak.Order) {
+			s.Orders = nil
+			s.try(1, 25*second)
+			s.Troubles = append(s.Troubles, dgsoak.Trouble{Service: "f0", From: at(20 * second), To: at(24 * second)})
+		}},
+	} {
+		for _, untimed := range []bool{false, true} {
+			s, o := newRolloutScene(dandeliongap.RolloutRolledBack, 30500*time.Millisecond)
+			c.change(s, o)
+			want := c.want
+			if untimed {
+				want = c.untimed
+			}
+			if got := broken(s, untimed); want == "" && len(got) > 0 || want != "" && !slices.Equal(got, []string{want}) {
+				t.Errorf("%s (untimed %t): broken %v, want %q", c.name, untimed, got, want)
+			}
+		}
+	}
+}
+
 // TestCheckUntimed guards against a verdict that depends on the speed of the machine.
 func TestCheckUntimed(t *testing.T) {
 	s := newScene()
@@ -534,7 +635,7 @@
 			}
 		}
 	}
-	for k := dgsoak.KillVM; k <= dgsoak.LowerLimit; k++ {
+	for k := dgsoak.KillVM; k <= dgsoak.StartUnordered; k++ {
 		if !seen[k] {
 			t.Errorf("kind %s is never drawn", k)
 		}
--- a/dgsoak/doc.go
+++ b/dgsoak/doc.go
@@ -37,8 +37,15 @@
 //	     (rate x window + burst) x (1 + overshoot) + slack, over all VMs, faults or not.
 //	K22  A request with a valid key is not refused for its key.
 //
-// K7 to K12, K14, K16 to K18, K20 and K21 have time bounds, which a busy machine may break. K8 to K12,
-// K16 and K20 hold for VMs that no fault has touched for Bounds.Stable, K17 and K18 for those that
+//	K23  A bad version gets at most Bounds.ExposureShare of the requests that reach its service
+//	     between the order and its deadline, plus Bounds.ExposureSlack, over all VMs, faults or
+//	     not.
+//	K24  When an order is completed, no request is at a backend server of an old version, and
+//	     none reaches one later.
+//	K25  A backend server of a version that nobody has ordered gets no request.
+//
+// K7 to K12, K14, K16 to K18, K20, K21, K24 and K25 have time bounds, which a busy machine may break. K8 to K12,
+// K16, K20 and K24 hold for VMs that no fault has touched for Bounds.Stable, K17 and K18 for those that
 // none had touched before the restore. K11 holds around a restore too: no VM goes back to the
 // configuration of the copy. A lower limit (K21) is binding in windows that begin
 // Bounds.AccountApply after the configuration, without the time in which a fault kept
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -55,6 +55,17 @@
 	To   dandeliongap.Instant
 }
 
+// Order is an order to move the traffic of a service to a version.
+type Order struct {
+	Service  dandeliongap.ServiceName
+	Version  dandeliongap.SoftwareVersion
+	At       dandeliongap.Instant // when the store accepted it
+	Deadline dandeliongap.Instant
+	Bad      bool
+	State    dandeliongap.RolloutState // the last that was seen
+	StateAt  dandeliongap.Instant
+}
+
 // Stop is a planned stop of a VM.
 type Stop struct {
 	VM       dandeliongap.VMName
@@ -74,7 +85,7 @@
 
 // Violation is a broken promise.
 type Violation struct {
-	Promise string // K1 to K22
+	Promise string // K1 to K25
 	At      dandeliongap.Instant
 	Text    string
 }
@@ -86,12 +97,14 @@
 	Exchanges    map[RequestID]*Exchange
 	Arrivals     map[uint64]Arrival // by number
 	Instances    map[dandeliongap.InstanceID]dandeliongap.Instance
+	RegisteredAt map[dandeliongap.InstanceID]dandeliongap.Instant // just before it
 	Disturbances []Disturbance
 	Troubles     []Trouble
 	Publications []Publication
 	Departures   []Departure
 	Outages      []Outage
 	Stops        []Stop
+	Orders       []*Order
 	Usages       map[string]Usage // by VM and process
 	Found        []Violation      // found while the soak ran
 	QuietFrom    dandeliongap.Instant
@@ -130,13 +143,14 @@
 	l.Arrivals[a.Number] = a
 }
 
-func (l *Ledger) server(in dandeliongap.Instance) {
+func (l *Ledger) server(in dandeliongap.Instance, at dandeliongap.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.Instances == nil {
 		l.Instances = make(map[dandeliongap.InstanceID]dandeliongap.Instance)
+		l.RegisteredAt = make(map[dandeliongap.InstanceID]dandeliongap.Instant)
 	}
-	l.Instances[in.ID] = in
+	l.Instances[in.ID], l.RegisteredAt[in.ID] = in, at
 }
 
 func (l *Ledger) used(u Usage) {
@@ -165,6 +179,8 @@
 	Revoke                                   time.Duration // after which a removed key is not accepted
 	AccountApply                             time.Duration // after which keys and limits are in force
 	Quota                                    dgquota.Bounds
+	ExposureShare, ExposureSlack             float64       // of the requests to a service, to a bad version (K23)
+	BadRollback                              time.Duration // after which a bad version gets no requests
 }
 
 // DefaultBounds are those of the deployments in use: six VMs.
@@ -175,5 +191,6 @@
 		PauseSlack: 500 * time.Millisecond, LossSlack: 200 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second,
 		MemoryBytes: 184 << 20, Descriptors: 4100, ServedShare: 0.25,
 		Revoke: 5 * time.Second, AccountApply: 5 * time.Second, Quota: dgquota.DefaultBounds,
+		ExposureShare: 0.1, ExposureSlack: 50, BadRollback: 5 * time.Second,
 	}
 }
--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -34,6 +34,14 @@
 	Deregister(dandeliongap.InstanceID)
 	// SetZoneOut takes a zone out of service or returns it.
 	SetZoneOut(zone dandeliongap.ZoneName, out bool) error
+	// Order writes an order to move the traffic of a service to a version until a deadline.
+	Order(dandeliongap.ServiceName, dandeliongap.SoftwareVersion, time.Duration) error
+	// Withdraw removes the order of a service.
+	Withdraw(dandeliongap.ServiceName)
+	// OrderStatus returns the status of the order of a service.
+	OrderStatus(dandeliongap.ServiceName) dandeliongap.RolloutStatus
+	// FailVersion makes a share of the requests to the servers of a version fail.
+	FailVersion(version dandeliongap.SoftwareVersion, share float64)
 	// RerouteGossip makes the registrations that VMs write from now on name the addresses
 	// for gossip that the function returns for them.
 	RerouteGossip(func(dandeliongap.VMName) string)
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -48,6 +48,10 @@
 	AddKey                      // to an account, whose callers send it at once
 	HeatAccount                 // its callers send several times its rate
 	LowerLimit                  // of an account, far below what its callers send, and return it
+	OrderGood                   // the traffic of a service moves to a version
+	OrderBad                    // the same, to a version of which many responses fail
+	OrderWithdrawn              // the same as OrderGood, but the order is removed before its deadline
+	StartUnordered              // a backend server of a version that nobody orders
 	kinds                       // number of kinds
 
 	lastVMKind     = LosePeers
@@ -58,7 +62,7 @@
 	"kill VM", "stop VM", "pause VM", "reload VM", "kill all VMs", "faulty store", "store forgets history", "store cut off", "store connections reset",
 	"callers delayed", "caller connections reset", "answers silenced", "VM cut off from others", "heartbeats lost", "faulty server", "faulty service", "server cut off", "server connections reset",
 	"server throttled", "server crash", "server drained", "server vanishes", "server leaves", "address reused", "zone taken out", "configuration change",
-	"configuration storm", "new set of shards", "odd entries", "store restored", "key removed", "key added", "hot account", "limit lowered",
+	"configuration storm", "new set of shards", "odd entries", "store restored", "key removed", "key added", "hot account", "limit lowered", "good version ordered", "bad version ordered", "order withdrawn", "unordered version",
 }
 
 // String returns the name of the kind.
@@ -103,6 +107,7 @@
 	}
 	out = append(out, drawRestores(seed, length)...)
 	out = append(out, drawAccounts(seed, length)...)
+	out = append(out, drawRollouts(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -152,6 +157,31 @@
 	return out
 }
 
+// Two of rolloutSeeds seeds have rollouts. The others show that nothing changes without them.
+const rolloutSeeds = 3
+
+// lastOrder limits the times of the steps of rollouts, which take longer than others.
+const lastOrder = 6 * time.Second
+
+// HasRollouts reports whether the versions of backend servers change in a seed.
+func HasRollouts(seed uint64) bool { return seed%rolloutSeeds != 0 }
+
+// drawRollouts returns the steps of rollouts, from a source of their own like those of
+// drawRestores.
+func drawRollouts(seed uint64, length time.Duration) (out []Step) {
+	if !HasRollouts(seed) || length <= firstStep {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 3<<32))
+	for range 1 + rng.IntN(3) {
+		out = append(out, Step{
+			Kind: OrderGood + Kind(rng.IntN(int(StartUnordered-OrderGood)+1)), At: firstStep + time.Duration(rng.Int64N(int64(min(length, lastOrder)-firstStep))),
+			For: shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))), Target: rng.Uint32(), Variant: rng.Uint32(),
+		})
+	}
+	return out
+}
+
 // storeFault returns the fault of the store that the step selects.
 func (s Step) storeFault() StoreFault { return StoreFault(1 + s.Variant%uint32(storeFaults-1)) }
 
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -63,6 +63,7 @@
 	Starts     int // of processes
 	MostMemory int64
 	MostFiles  int
+	Orders     []string // and what became of them
 	Violations []Violation
 	Dir        string
 }
@@ -124,7 +125,7 @@
 func (s *soak) start(ctx context.Context) error {
 	for i, service := range services() {
 		for r := range replicas {
-			if err := s.fleet.start(service, zones[(i+r)%len(zones)], nil); err != nil {
+			if err := s.fleet.start(service, zones[(i+r)%len(zones)], "", nil); err != nil {
 				return err
 			}
 		}
@@ -171,7 +172,7 @@
 func (s *soak) newVM(i int) (*vm, error) {
 	v := &vm{
 		name: dandeliongap.VMName(fmt.Sprint("vm-", i)), zone: zones[i%len(zones)], program: s.opt.Program, dir: s.opt.Dir,
-		bounds: s.opt.Bounds, now: s.now, ledger: &s.ledger, stopping: s.ending.Load, accounts: s.operator.hasAccounts(),
+		bounds: s.opt.Bounds, now: s.now, ledger: &s.ledger, stopping: s.ending.Load, accounts: s.operator.hasAccounts(), rollouts: HasRollouts(s.opt.Seed),
 	}
 	for _, addr := range []*string{&v.ports.entry, &v.ports.ready, &v.ports.directory, &v.ports.gossip} {
 		a, err := FreeAddress()
@@ -313,6 +314,9 @@
 			r.Failed++
 		}
 	}
+	for _, o := range s.ledger.Orders {
+		r.Orders = append(r.Orders, o.String())
+	}
 	r.Arrivals = len(s.ledger.Arrivals)
 	for _, u := range s.ledger.Usages {
 		r.MostMemory, r.MostFiles = max(r.MostMemory, u.MemoryBytes), max(r.MostFiles, u.Descriptors)
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -155,15 +155,19 @@
 	started  int
 	live     []*backend
 	all      []*backend // to be closed
+	versions map[dandeliongap.ServiceName]*versions
+	trials   int
 }
 
-// start starts a backend server of a service in a zone and registers it. path is the proxy
-// whose address it takes over, or nil for a new one.
-func (f *fleet) start(service dandeliongap.ServiceName, zone dandeliongap.ZoneName, path *proxy) error {
+// start starts a backend server of a service in a zone and registers it. Its version is that
+// in use, unless version is on trial. path is the proxy whose address it takes over, or nil
+// for a new one.
+func (f *fleet) start(service dandeliongap.ServiceName, zone dandeliongap.ZoneName, version dandeliongap.SoftwareVersion, path *proxy) error {
 	f.mu.Lock()
 	f.started++
 	in := dandeliongap.Instance{
 		ID: dandeliongap.InstanceID(fmt.Sprintf("i-%s-%d", service, f.started)), Service: service, Zone: zone, Slots: slots, StartUnixMs: time.Now().UnixMilli(),
+		Software: f.versionFor(service, version),
 	}
 	f.mu.Unlock()
 	server, err := f.platform.NewServer(ServerOptions{Instance: in, Content: content, Work: workTime, Stamp: stamp, Record: f.ledger.arrived, Now: f.now})
@@ -179,7 +183,7 @@
 		path.setTarget(server.Address())
 	}
 	in.Address = path.addr()
-	f.ledger.server(in)
+	f.ledger.server(in, f.now())
 	b := &backend{in, server, path}
 	f.mu.Lock()
 	f.live = append(f.live, b)
--- a/dgsoak/vm.go
+++ b/dgsoak/vm.go
@@ -35,6 +35,7 @@
 	ledger   *Ledger
 	stopping func() bool // the soak ends
 	accounts bool        // the configurations have accounts
+	rollouts bool        // versions of backend servers change
 
 	stepMu sync.Mutex // held by a step that ends the process, until the next one has started
 
@@ -66,6 +67,9 @@
 		fmt.Fprintf(&b, "quota window s = %g\nquota overshoot = %g\nquota slack = %g\n", q.Window.Seconds(), q.Overshoot, q.Slack)
 		fmt.Fprintf(&b, "revoke time ms = %d\nconfig time ms = %d\n", v.bounds.Revoke.Milliseconds(), v.bounds.AccountApply.Milliseconds())
 	}
+	if v.rollouts {
+		fmt.Fprintf(&b, "canary share = %g\ncanary slack = %g\nrollback limit ms = %d\n", v.bounds.ExposureShare, v.bounds.ExposureSlack, v.bounds.BadRollback.Milliseconds())
+	}
 	return "[edge]\n" + b.String()
 }
 
