--- a/dgsoak/platform.go
+++ b/dgsoak/platform.go
@@ -34,6 +34,14 @@
 	Deregister(dandeliongap.InstanceID)
 	// SetZoneOut takes a zone out of service or returns it.
 	SetZoneOut(zone dandeliongap.ZoneName, out bool) error
+	// Order writes an order to move the traffic of a service to a version until a deadline.
+	Order(dandeliongap.ServiceName, dandeliongap.SoftwareVersion, time.Duration) error
+	// Withdraw removes the order of a service.
+	Withdraw(dandeliongap.ServiceName)
+	// OrderStatus returns the status of the order of a service.
+	OrderStatus(dandeliongap.ServiceName) dandeliongap.RolloutStatus
+	// FailVersion makes a share of the requests to the servers of a version fail.
+	FailVersion(version dandeliongap.SoftwareVersion, share float64)
 	// RerouteGossip makes the registrations that VMs write from now on name the addresses
 	// for gossip that the function returns for them.
 	RerouteGossip(func(dandeliongap.VMName) string)
@@ -128,6 +136,8 @@
 	Method   string
 	Path     string
 	Body     string
+	Accounts []string // names of accounts that the head or the trailer states
+	SawKey   bool     // the head or the trailer has a text with KeyPrefix
 	Ran      bool
 	// Misdirected reports that the request was for another instance and was refused.
 	Misdirected bool
@@ -145,8 +155,30 @@
 	Path     string
 	Body     string
 	Deadline time.Duration
+	Key      string // of an account; "": none
+	Forge    Forge
 }
 
+// KeyPrefix begins every key, so that servers recognize keys wherever they appear.
+const KeyPrefix = "soak-key-"
+
+// ForgedAccount is the name of an account that callers state in vain.
+const ForgedAccount = "forged"
+
+// Forge is how a caller states the name of an account.
+type Forge uint8
+
+// Ways to state the name of an account.
+const (
+	ForgeNothing    Forge = iota
+	ForgeHeader           // in the header that VMs set
+	ForgeTwice            // in two of them, in other letter cases
+	ForgeConnection       // in a header that Connection names
+	ForgeUnderscore       // in a header with underscores in place of hyphens
+	ForgeTrailer          // after the body, if there is one
+	forges                // number of ways
+)
+
 // MissingUnreadable is the value of Response.Missing if the response states no number. It
 // fits no configuration (K2).
 const MissingUnreadable = -1
@@ -163,7 +195,7 @@
 // Promised reports whether the response promises that the request has not run.
 func (r Response) Promised() bool {
 	switch r.Status {
-	case 408, 421, 429, 503:
+	case 401, 408, 421, 429, 503:
 		return true
 	}
 	return false
--- a/dgsoak/tier.go
+++ b/dgsoak/tier.go
@@ -40,6 +40,7 @@
 	// routeArchive leads to one service whose requests take long. Their deadline lies after
 	// the end of a stop.
 	routeArchive dandeliongap.RouteName = "archive"
+	routePublic  dandeliongap.RouteName = "public" // to the service of orders, needs no key
 )
 
 const (
@@ -77,16 +78,24 @@
 	now      func() dandeliongap.Instant
 	number   uint64
 	set      int // of shards
+	accounts []*account
 }
 
 // publish puts the next configuration into force. reshard makes it name the other set of
 // shards.
 func (o *operator) publish(reshard bool) error {
+	return o.change(func() {
+		if reshard {
+			o.set = 1 - o.set
+		}
+	})
+}
+
+// change changes what the configuration follows from and puts the next one into force.
+func (o *operator) change(fn func()) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if reshard {
-		o.set = 1 - o.set
-	}
+	fn()
 	o.number++
 	cfg := o.config()
 	if err := o.platform.Publish(cfg); err != nil {
@@ -112,7 +121,11 @@
 	fetch := dandeliongap.Route{Name: routeFetch, Prefix: "/fetch/", Idempotent: true, LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: fetchName(int(o.number % fetchServices))}
 	order := dandeliongap.Route{Name: routeOrder, Prefix: "/order/", LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: ordersService}
 	archive := dandeliongap.Route{Name: routeArchive, Prefix: "/archive/", Idempotent: true, LatencyObjective: 2 * time.Second, Priority: 2, Service: archiveService}
-	for _, r := range []dandeliongap.Route{search, fetch, order, archive} {
+	public := dandeliongap.Route{Name: routePublic, Prefix: "/public/", Idempotent: true, LatencyObjective: 400 * time.Millisecond, Priority: 1, Service: ordersService, Public: true}
+	for _, a := range o.accounts {
+		cfg.Accounts = append(cfg.Accounts, a.configured())
+	}
+	for _, r := range []dandeliongap.Route{search, fetch, order, archive, public} {
 		r.Host, r.Timeout, r.MaxAttempts = host, max(deadlines[r.Name], 2*time.Second), 2
 		cfg.Routes = append(cfg.Routes, r)
 	}
@@ -142,15 +155,19 @@
 	started  int
 	live     []*backend
 	all      []*backend // to be closed
+	versions map[dandeliongap.ServiceName]*versions
+	trials   int
 }
 
-// start starts a backend server of a service in a zone and registers it. path is the proxy
-// whose address it takes over, or nil for a new one.
-func (f *fleet) start(service dandeliongap.ServiceName, zone dandeliongap.ZoneName, path *proxy) error {
+// start starts a backend server of a service in a zone and registers it. Its version is that
+// in use, unless version is on trial. path is the proxy whose address it takes over, or nil
+// for a new one.
+func (f *fleet) start(service dandeliongap.ServiceName, zone dandeliongap.ZoneName, version dandeliongap.SoftwareVersion, path *proxy) error {
 	f.mu.Lock()
 	f.started++
 	in := dandeliongap.Instance{
 		ID: dandeliongap.InstanceID(fmt.Sprintf("i-%s-%d", service, f.started)), Service: service, Zone: zone, Slots: slots, StartUnixMs: time.Now().UnixMilli(),
+		Software: f.versionFor(service, version),
 	}
 	f.mu.Unlock()
 	server, err := f.platform.NewServer(ServerOptions{Instance: in, Content: content, Work: workTime, Stamp: stamp, Record: f.ledger.arrived, Now: f.now})
@@ -166,7 +183,7 @@
 		path.setTarget(server.Address())
 	}
 	in.Address = path.addr()
-	f.ledger.server(in)
+	f.ledger.server(in, f.now())
 	b := &backend{in, server, path}
 	f.mu.Lock()
 	f.live = append(f.live, b)
