Pass on hashes of keys in place of the keys (dgaccount K7)

Cause: the listener for changes serves the configuration as the store has it, with the keys of all client accounts, to whoever reaches the gossip port, and callers reach it.

The source decides what counts: an object from the store is read by DecodeRoutes, which ignores hashes, one from a VM by DecodeSharedRoutes, which refuses keys. Accounts are written anew, and fields that a decoder could take for them are left out, also if they are spelled otherwise or repeated. A configuration that is refused is passed on without content: others could not find a bad key by its hash. The configuration that dgrestore keeps in force is held in the same form. Without accounts the bytes are as before.

VMs of earlier versions do not know the hashes and would refuse all callers, so a request for changes says that its sender reads hashes (Hashes=1), and others get 503 and read the store. A VM of this version in turn takes no configuration with keys from another VM.

Not measured: the size of a packed configuration with hashes, and the time of a pull with 10,000 accounts.

--- a/dgaccount/dgaccount.go
+++ b/dgaccount/dgaccount.go
@@ -6,7 +6,7 @@
 //	K1  The accounts of a configuration are accepted all together or not at all. Names
 //	    and keys are unique, a name can be sent as a header value, a key has 1 to
 //	    MaxKeyBytes bytes, rate and burst are finite and not negative, and a burst has a
-//	    rate.
+//	    rate. An account has keys or hashes of keys, not both.
 //	K2  A key is looked up by its SHA-256 hash. The time of a look-up tells nothing about
 //	    how much of a key is right, and no key is kept.
 //	K3  A request has a key if it has exactly one authorization value, with the scheme
@@ -17,6 +17,8 @@
 //	    route.
 //	K6  A request needs a known key unless its route is public. A public route uses a
 //	    known key and ignores any other.
+//	K7  VMs keep and pass on the hashes of keys in place of the keys, because the port at
+//	    which they do so is open to callers. A hash is never accepted as a key.
 package dgaccount
 
 import (
@@ -40,14 +42,11 @@
 	ShortHashBytes = 4
 )
 
-// hash is the SHA-256 hash of a key.
-type hash [sha256.Size]byte
-
 // Book holds the accounts of a configuration. It is immutable. The nil Book has no
 // accounts: requests then need no key.
 type Book struct {
-	accounts []dandeliongap.Account // without keys
-	byKey    map[hash]int           // index in accounts
+	accounts []dandeliongap.Account       // without keys and hashes
+	byKey    map[dandeliongap.KeyHash]int // index in accounts
 	byName   map[dandeliongap.AccountName]int
 }
 
@@ -57,7 +56,7 @@
 	if len(accounts) == 0 {
 		return nil, nil
 	}
-	b := &Book{byKey: make(map[hash]int, len(accounts)), byName: make(map[dandeliongap.AccountName]int, len(accounts))}
+	b := &Book{byKey: make(map[dandeliongap.KeyHash]int, len(accounts)), byName: make(map[dandeliongap.AccountName]int, len(accounts))}
 	for i, a := range accounts {
 		if err := check(a); err != nil {
 			return nil, fmt.Errorf("%w: account %d (%.60q): %w", dandeliongap.ErrInvalid, i, a.Name, err)
@@ -66,14 +65,13 @@
 			return nil, fmt.Errorf("%w: accounts %d and %d have the name %.60q", dandeliongap.ErrInvalid, other, i, a.Name)
 		}
 		b.byName[a.Name] = i
-		for _, key := range a.Keys {
-			h := hash(sha256.Sum256([]byte(key)))
+		for _, h := range Hashes(a) {
 			if other, ok := b.byKey[h]; ok && other != i {
-				return nil, fmt.Errorf("%w: accounts %d and %d have the key with hash %s", dandeliongap.ErrInvalid, other, i, ShortHash(key))
+				return nil, fmt.Errorf("%w: accounts %d and %d have the key with hash %s", dandeliongap.ErrInvalid, other, i, short(h))
 			}
 			b.byKey[h] = i
 		}
-		a.Keys = nil
+		a.Keys, a.KeyHashes = nil, nil
 		b.accounts = append(b.accounts, a)
 	}
 	return b, nil
@@ -94,6 +92,8 @@
 		return fmt.Errorf("burst is %g, want a finite number of 0 or more", a.Burst)
 	case a.Burst > 0 && a.Rate == 0:
 		return fmt.Errorf("burst %g without a rate", a.Burst)
+	case len(a.Keys) > 0 && len(a.KeyHashes) > 0:
+		return fmt.Errorf("it has both keys and hashes of keys")
 	}
 	for _, key := range a.Keys {
 		if key == "" {
@@ -106,6 +106,18 @@
 	return nil
 }
 
+// Hashes returns the hashes of all keys of an account.
+func Hashes(a dandeliongap.Account) []dandeliongap.KeyHash {
+	if len(a.Keys) == 0 {
+		return a.KeyHashes
+	}
+	out := make([]dandeliongap.KeyHash, len(a.Keys))
+	for i, key := range a.Keys {
+		out[i] = sha256.Sum256([]byte(key))
+	}
+	return out
+}
+
 func isControl(r rune) bool { return r < ' ' || r == 0x7f }
 
 // Len returns the number of accounts.
@@ -141,7 +153,7 @@
 	return &b.accounts[i]
 }
 
-// All returns the accounts, without their keys.
+// All returns the accounts, without their keys and hashes.
 func (b *Book) All() []dandeliongap.Account {
 	if b == nil {
 		return nil
@@ -206,6 +218,9 @@
 	if key == "" {
 		return ""
 	}
-	h := sha256.Sum256([]byte(key))
+	return short(sha256.Sum256([]byte(key)))
+}
+
+func short(h dandeliongap.KeyHash) string {
 	return hex.EncodeToString(h[:ShortHashBytes])
 }
--- a/dgaccount/dgaccount_test.go
+++ b/dgaccount/dgaccount_test.go
@@ -1,6 +1,8 @@
 package dgaccount_test
 
 import (
+	"encoding/base64"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math"
@@ -94,6 +96,57 @@
 	}
 }
 
+// TestHashes guards against accounts with hashes of keys that accept or refuse other requests
+// than the same accounts with the keys, and against a hash that is accepted as a key.
+func TestHashes(t *testing.T) {
+	accounts := []dandeliongap.Account{{Name: "a", Keys: []string{"key-a", "key-a2"}}, {Name: "b", Keys: []string{"key-b"}}, {Name: "none"}}
+	var hashed []dandeliongap.Account
+	var keys []string
+	for _, a := range accounts {
+		h := a
+		h.Keys, h.KeyHashes = nil, dgaccount.Hashes(a)
+		hashed = append(hashed, h)
+		for _, sum := range h.KeyHashes {
+			keys = append(keys, string(sum[:]), hex.EncodeToString(sum[:]), base64.StdEncoding.EncodeToString(sum[:]))
+		}
+		keys = append(keys, a.Keys...)
+	}
+	withKeys, err := dgaccount.New(accounts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	withHashes, err := dgaccount.New(hashed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, key := range append(keys, "", "key-") {
+		x, y := withKeys.Find(key), withHashes.Find(key)
+		if (x == nil) != (y == nil) || x != nil && x.Name != y.Name {
+			t.Errorf("key %q: %v with keys, %v with hashes", key, x, y)
+		}
+		if x != nil {
+			found++
+		}
+	}
+	if found != 3 {
+		t.Errorf("%d of the texts are keys, want 3", found)
+	}
+	for _, a := range withHashes.All() {
+		if len(a.KeyHashes) > 0 {
+			t.Errorf("account %q keeps its hashes", a.Name)
+		}
+	}
+	for name, bad := range map[string]dandeliongap.Account{
+		"a hash in use":   {Name: "c", KeyHashes: hashed[0].KeyHashes[1:]},
+		"keys and hashes": {Name: "c", Keys: []string{"key-c"}, KeyHashes: dgaccount.Hashes(dandeliongap.Account{Keys: []string{"key-d"}})},
+	} {
+		if b, err := dgaccount.New(append(hashed[:3:3], bad)); b != nil || !errors.Is(err, dandeliongap.ErrInvalid) {
+			t.Errorf("%s: accepted, or the error %v is not ErrInvalid", name, err)
+		}
+	}
+}
+
 // TestPriority guards against an account of priority 0 that is taken as one without a
 // priority.
 func TestPriority(t *testing.T) {
--- a/dgedge/apply.go
+++ b/dgedge/apply.go
@@ -12,13 +12,16 @@
 )
 
 // applyRouteState applies a state of the configuration. It returns the state that this VM
-// passes on: with the configuration in force in place of one of a restored store (dgrestore
-// E3).
-func (c *control) applyRouteState(s dgwatch.State) dgwatch.State {
+// passes on: with hashes in place of keys (dgaccount K7), and with the configuration in force
+// in place of one of a restored store (dgrestore E3). fromVM tells whether another VM passed
+// the state on.
+func (c *control) applyRouteState(s dgwatch.State, fromVM bool) dgwatch.State {
 	s.Objects = slices.Clone(s.Objects)
 	listed := false
 	for i, o := range s.Objects {
-		if c.applyRoutes(o) == dgrestore.Refused {
+		verdict := dgrestore.Outdated
+		verdict, s.Objects[i] = c.applyRoutes(o, fromVM)
+		if verdict == dgrestore.Refused {
 			s.Objects[i] = c.routes
 		}
 		listed = listed || s.Objects[i].Name == c.routes.Name
@@ -32,29 +35,43 @@
 // offerRoutes applies the configuration in force of another VM (dgrestore E4).
 func (c *control) offerRoutes(objects []dandeliongap.Object) {
 	for _, o := range objects {
-		if c.applyRoutes(o) == dgrestore.Applied {
-			c.e.mirror.Keep(dandeliongap.KindRoutes, o)
+		if verdict, shared := c.applyRoutes(o, true); verdict == dgrestore.Applied {
+			c.e.mirror.Keep(dandeliongap.KindRoutes, shared)
 			c.propagate()
 		}
 	}
 }
 
 // applyRoutes puts a routing configuration in force unless dgrestore E1 or E2 exclude it. The
-// current one stays in force if the object is deleted or invalid.
-func (c *control) applyRoutes(o dandeliongap.Object) dgrestore.Verdict {
+// current one stays in force if the object is deleted or invalid. It returns the object that
+// this VM passes on (dgaccount K7). An invalid one is passed on without content: it may have
+// keys, and others could not find all faults of keys by their hashes.
+func (c *control) applyRoutes(o dandeliongap.Object, fromVM bool) (dgrestore.Verdict, dandeliongap.Object) {
+	store := c.e.opt.Store
+	decode, shared := store.DecodeRoutes, o
+	if fromVM {
+		decode = store.DecodeSharedRoutes
+	} else {
+		shared = store.ShareRoutes(o)
+	}
+	refused := o
+	refused.Body = nil
 	if o.Deleted {
 		c.e.log.event("configuration removed").Uint64("Version", uint64(o.Version)).Str("Choice", "keep the last one").Send()
-		return dgrestore.Outdated
+		return dgrestore.Outdated, refused
 	}
-	cfg, err := c.e.opt.Store.DecodeRoutes(o)
+	cfg, err := decode(o)
 	if err != nil {
 		c.e.log.event("configuration invalid").Uint64("Version", uint64(o.Version)).Err(err).Str("Choice", "keep the last one").Send()
-		return dgrestore.Outdated
+		return dgrestore.Outdated, refused
 	}
 	accounts, err := dgaccount.New(cfg.Accounts)
 	if err != nil {
 		c.e.log.event("configuration invalid").Str("Rule", "K1").Uint64("Version", uint64(o.Version)).Err(err).Str("Choice", "keep the last one").Send()
-		return dgrestore.Outdated
+		return dgrestore.Outdated, refused
+	}
+	if accounts != nil {
+		c.e.sharesHashes.Store(true)
 	}
 	cfg.Accounts = nil // accounts has them without their keys
 	inForce := c.inForce.Number()
@@ -64,9 +81,9 @@
 			Uint64("InForce", inForce).Str("Choice", "keep the last one").Send()
 	}
 	if verdict != dgrestore.Applied {
-		return verdict
+		return verdict, shared
 	}
-	c.routes = o
+	c.routes = shared
 	t := dgroute.New(cfg)
 	c.e.mu.Lock()
 	t.InheritSplitState(c.table)
@@ -75,7 +92,7 @@
 	c.e.quotas.setBook(c.e.now(), accounts)
 	c.e.log.event("configuration in force").Uint64("Version", uint64(cfg.Version)).Uint64("Number", cfg.Number).
 		Int("Routes", len(cfg.Routes)).Int("Services", len(cfg.Services)).Int("Accounts", accounts.Len()).Send()
-	return verdict
+	return verdict, shared
 }
 
 func (c *control) applyInstances(now dandeliongap.Instant, b batch) {
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -62,7 +62,7 @@
 	table           *dgroute.Table
 	accounts        *dgaccount.Book     // of table
 	inForce         dgrestore.Config    // identity of the configuration of table
-	routes          dandeliongap.Object // object of the configuration of table
+	routes          dandeliongap.Object // object of the configuration of table, as it is passed on
 	catalog         *dgcatalog.Catalog
 	confirmed       map[string]bool // kinds whose whole state is known, no older than the start of the VM (F4)
 	zonesOut        dgrestore.Zones
@@ -227,7 +227,7 @@
 	c.beginEra(now, b)
 	state := dgwatch.State{Full: b.full, Version: b.version, Objects: b.objects}
 	if b.kind == dandeliongap.KindRoutes {
-		state = c.applyRouteState(state)
+		state = c.applyRouteState(state, b.fromVM)
 	}
 	c.e.mirror.Apply(b.kind, state)
 	switch b.kind {
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -70,6 +70,7 @@
 	view           atomic.Pointer[view]
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
 	packed         packedCache    // of mirror
+	sharesHashes   atomic.Bool    // mirror has had a configuration with hashes of keys (dgaccount K7)
 	control        *control
 	stopping       atomic.Pointer[plannedStop] // set once Drain has been called
 	endRequests    chan struct{}               // closed when Drain ends the requests in progress
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -45,6 +46,12 @@
 		ctx.Error("not all control state is confirmed yet", http.StatusServiceUnavailable)
 		return
 	}
+	if kind == dandeliongap.KindRoutes && len(s.Objects) > 0 && e.sharesHashes.Load() && !ctx.QueryArgs().GetBool("Hashes") {
+		// A VM of an earlier version would find accounts without keys and refuse all callers.
+		// It reads the store instead.
+		ctx.Error("this configuration has hashes of keys", http.StatusServiceUnavailable)
+		return
+	}
 	if above, err := ctx.QueryArgs().GetUint("AboveNumber"); err == nil && e.view.Load().table.Config.Number <= uint64(above) {
 		s.Full, s.Objects = false, nil // the other VM has this configuration (dgrestore E4)
 	}
@@ -103,7 +110,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(addr)
-	req.SetRequestURI(fmt.Sprintf("%s?Kind=%s&Since=%d&Packed=1&Eras=1%s", changesPath, url.QueryEscape(kind), since, query))
+	req.SetRequestURI(fmt.Sprintf("%s?Kind=%s&Since=%d&Packed=1&Eras=1&Hashes=1%s", changesPath, url.QueryEscape(kind), since, query))
 	deadline, _ := ctx.Deadline()
 	if _, err := transport.Do(ctx, req, resp, deadline); err != nil {
 		return dgwatch.State{}, err
@@ -121,6 +128,16 @@
 	if err != nil {
 		return dgwatch.State{}, fmt.Errorf("VM at %s: %w: %w", addr, dandeliongap.ErrInvalid, err)
 	}
+	if kind != dandeliongap.KindRoutes {
+		return s, nil
+	}
+	for _, o := range s.Objects {
+		// A VM of an earlier version passes on keys. Its state is not taken, so that this VM
+		// reads the store instead.
+		if _, err := c.e.opt.Store.DecodeSharedRoutes(o); errors.Is(err, dandeliongap.ErrHasKeys) {
+			return dgwatch.State{}, fmt.Errorf("VM at %s: %w", addr, err)
+		}
+	}
 	return s, nil
 }
 
--- a/errors.go
+++ b/errors.go
@@ -29,6 +29,9 @@
 	ErrRestored = errors.New("store restored from a copy")
 	// ErrCutOff reports a watch whose connection ended without a complete response.
 	ErrCutOff = errors.New("connection ended before the response")
+	// ErrHasKeys reports a configuration from another VM that has keys of accounts in place
+	// of their hashes.
+	ErrHasKeys = errors.New("configuration of another VM has keys")
 	// ErrNoReplica reports a service none of whose replicas can take a request now.
 	ErrNoReplica = errors.New("no usable replica")
 	// ErrClosed reports a call on a closed client, server or store.
--- a/route.go
+++ b/route.go
@@ -15,10 +15,15 @@
 // AccountName names a client account of a routing configuration.
 type AccountName string
 
-// Account is a client account. Callers identify themselves by one of its keys.
+// KeyHash is the SHA-256 hash of a key.
+type KeyHash [32]byte
+
+// Account is a client account. Callers identify themselves by one of its keys. A
+// configuration from the store has the keys, one from another VM their hashes.
 type Account struct {
 	Name        AccountName
 	Keys        []string
+	KeyHashes   []KeyHash
 	Priority    int // 0 is the highest; only if HasPriority
 	HasPriority bool
 	Rate        float64 // requests per second, over all VMs together; 0: no limit
@@ -162,8 +167,16 @@
 	// ListStale is a cheaper List whose result may be some seconds old. A watch
 	// from the returned version delivers the changes since then.
 	ListStale(ctx context.Context, kind string) ([]Object, Version, error)
-	// DecodeRoutes decodes the object of KindRoutes. Its error wraps ErrInvalid.
+	// DecodeRoutes decodes the object of KindRoutes, as the store has it. Its error wraps
+	// ErrInvalid.
 	DecodeRoutes(o Object) (*RouteConfig, error)
+	// ShareRoutes returns the form in which VMs keep the object of KindRoutes and pass it
+	// on, which has hashes in place of keys. Without accounts it is the object itself, and
+	// without content if DecodeRoutes refuses it.
+	ShareRoutes(o Object) Object
+	// DecodeSharedRoutes decodes the form that ShareRoutes returns. Its error wraps
+	// ErrInvalid, and also ErrHasKeys if the object has keys.
+	DecodeSharedRoutes(o Object) (*RouteConfig, error)
 	// DecodeInstance decodes an object of KindInstances. Its error wraps ErrInvalid.
 	DecodeInstance(o Object) (Instance, error)
 	// DecodeRollout decodes an object of KindRollouts. Its error wraps ErrInvalid; the
