--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -173,7 +173,7 @@
 		return nil
 	}
 	rng := rand.New(rand.NewPCG(seed, 3<<32))
-	for range 1 + rng.IntN(3) {
+	for range 2 + rng.IntN(3) {
 		out = append(out, Step{
 			Kind: OrderGood + Kind(rng.IntN(int(StartUnordered-OrderGood)+1)), At: firstStep + time.Duration(rng.Int64N(int64(min(length, lastOrder)-firstStep))),
 			For: shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))), Target: rng.Uint32(), Variant: rng.Uint32(),
