Report running while a rollout is carried out (dgrollout X14)

Cause: a write of the status changes the revision of the object, which identified the order, so that the leading VM wrote no running. Change: an order is identified by the version of the operator's write. A change that keeps target and duration and brings another status is a status. The leading VM writes the state with that version and the content first and then running once; a VM that missed a write takes the version from the state. Stages of one order only go forward.

--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -142,6 +142,7 @@
 	if err == nil {
 		err = dgrollout.Check(order, true)
 	}
+	listed = listed || en.listed && order.Target == en.order.Target && order.Duration == en.order.Duration
 	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, now, listed, false
 	if err != nil {
 		c.e.mu.Lock()
@@ -175,7 +176,7 @@
 		en.lead = nil
 	}
 	c.e.log.event("rollout order").Str("Rule", "X13").Str("Service", clip(string(name))).Str("Target", clip(string(en.order.Target))).Dur("Duration", en.order.Duration).
-		Uint64("Version", uint64(en.order.Version)).Bool("Begins", begins).Dur("Elapsed", now.Sub(v.Since)).Int("Replicas", v.Targets).Interface("InUse", v.InUse).Send()
+		Uint64("Version", uint64(en.order.Version)).Uint64("Order", uint64(v.ID)).Bool("Begins", begins).Dur("Elapsed", now.Sub(v.Since)).Int("Replicas", v.Targets).Interface("InUse", v.InUse).Send()
 	if changed {
 		c.logStage(now, name, en, v)
 	}
@@ -185,7 +186,11 @@
 // changed. An order that this VM did not see arrive began when the state says. e.mu must be
 // held.
 func (c *control) adoptState(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry) (changed bool) {
-	if en.listed && en.admitted && en.state.Order == en.order.Version && en.state.OrderedUnixMs > 0 {
+	if !en.admitted {
+		return false
+	}
+	adopted := c.e.rollouts.Adopt(now, name, en.state, en.stateVersion)
+	if (en.listed || adopted) && en.state.Order == c.e.rollouts.View(name).ID && en.state.OrderedUnixMs > 0 {
 		age := max(0, time.Since(time.UnixMilli(en.state.OrderedUnixMs)))
 		c.e.rollouts.Begin(name, now.Add(-min(age, en.order.Duration)))
 	}
@@ -260,7 +265,7 @@
 
 func (c *control) logStage(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, v dgrollout.View) {
 	c.e.log.event("rollout stage").Str("Rule", "X10").Str("Service", string(name)).Str("Target", string(v.Order.Target)).Stringer("Stage", v.Stage).Str("Why", clip(en.state.Why)).
-		Uint64("Order", uint64(v.Order.Version)).Uint64("Version", uint64(en.stateVersion)).Dur("Elapsed", now.Sub(v.Since)).
+		Uint64("Order", uint64(v.ID)).Uint64("Version", uint64(en.stateVersion)).Dur("Elapsed", now.Sub(v.Since)).
 		Float64("Sent", v.Sent).Float64("SentNew", v.SentNew).Send()
 }
 
@@ -383,38 +388,40 @@
 		LongestTime: c.longestTime(name), HubsUse: c.hubsUse(now, en.stateVersion),
 	}
 	step := en.lead.Decide(s)
-	c.logEvidence(now, name, en, s)
+	c.logEvidence(now, name, v.ID, en, s)
 	if en.lead.Bad() {
 		e.mu.Lock()
-		first := e.rollouts.SetBad(name, v.Order.Version)
+		first := e.rollouts.SetBad(name, v.ID)
 		e.mu.Unlock()
 		if first {
 			e.log.event("rollout target bad").Str("Rule", "X8").Str("Service", string(name)).Str("By", "leading VM").Send()
 		}
-		c.sendVerdict(name, en)
+		c.sendVerdict(name, v.ID, en)
 	}
 	switch {
 	case v.Stage == dgrollout.Completed:
 		c.writeStatus(name, en, dandeliongap.RolloutCompleted)
 	case v.Stage == dgrollout.RolledBack:
 		c.writeStatus(name, en, dandeliongap.RolloutRolledBack)
-	case step.Stage != v.Stage || en.state.Order != v.Order.Version:
+	case step.Stage == v.Stage && en.state.Order == v.ID:
+		c.writeStatus(name, en, dandeliongap.RolloutRunning)
+	default:
 		c.writeState(name, en, dgrollout.State{
-			Order: v.Order.Version, Target: v.Order.Target, Stage: step.Stage, Why: step.Why,
+			Order: v.ID, Target: v.Order.Target, Duration: v.Order.Duration, Stage: step.Stage, Why: step.Why,
 			OrderedUnixMs: time.Now().Add(-s.Elapsed).UnixMilli(),
 		})
 	}
 }
 
 // logEvidence logs what the decisions about a rollout are based on, from time to time.
-func (c *control) logEvidence(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, s dgrollout.Situation) {
+func (c *control) logEvidence(now dandeliongap.Instant, name dandeliongap.ServiceName, id dandeliongap.Version, en *rolloutEntry, s dgrollout.Situation) {
 	bad := en.lead.Bad()
 	if now.Sub(en.logAt) < evidenceLogInterval && bad == en.loggedBad {
 		return
 	}
 	en.logAt, en.loggedBad = now, bad
 	against, total := en.lead.Evidence()
-	e := c.e.log.event("rollout evidence").Str("Rule", "X8").Str("Service", string(name)).Uint64("Order", uint64(en.order.Version)).Stringer("Stage", s.Stage).
+	e := c.e.log.event("rollout evidence").Str("Rule", "X8").Str("Service", string(name)).Uint64("Order", uint64(id)).Stringer("Stage", s.Stage).
 		Dur("Elapsed", s.Elapsed).Int("Replicas", s.Replicas).Bool("HubsUse", s.HubsUse).Dur("LongestTime", s.LongestTime)
 	e.Floats64("Against", against[:]).Floats64("Total", total[:])
 	oldCounts, newCounts := en.lead.Counts()
@@ -500,15 +507,16 @@
 	})
 }
 
-// writeStatus writes how an order ended, unless the status says so already.
+// writeStatus writes the status of an order, unless it says the same already. The state of
+// the order must be in the store before (dgrollout X14).
 func (c *control) writeStatus(name dandeliongap.ServiceName, en *rolloutEntry, state dandeliongap.RolloutState) {
 	status := dandeliongap.RolloutStatus{State: state, Target: en.order.Target}
-	if en.admitted && en.state.Order != en.order.Version || !en.admitted && en.order.Status == status || !c.rollouts.beginWrite(name) {
+	if en.order.Status == status || !c.rollouts.beginWrite(name) {
 		return
 	}
 	object := en.object
-	c.e.log.event("rollout status").Str("Rule", "X12").Str("Service", clip(string(name))).Str("Target", clip(string(status.Target))).
-		Bool("Completed", state == dandeliongap.RolloutCompleted).Uint64("Version", uint64(object.Version)).Send()
+	c.e.log.event("rollout status").Str("Rule", "X14").Str("Service", clip(string(name))).Str("Target", clip(string(status.Target))).
+		Bool("Running", state == dandeliongap.RolloutRunning).Bool("Completed", state == dandeliongap.RolloutCompleted).Uint64("Version", uint64(object.Version)).Send()
 	c.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeCallTimeout)
 		defer cancel()
--- a/dgedge/rollout_evidence.go
+++ b/dgedge/rollout_evidence.go
@@ -123,18 +123,18 @@
 	if err != nil || len(rows) == 0 && !v.Bad {
 		return
 	}
-	c.sendReport(rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: v.Order.Version, Bad: v.Bad, Rows: reportRows(rows)}, addr)
+	c.sendReport(rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: v.ID, Bad: v.Bad, Rows: reportRows(rows)}, addr)
 	c.e.stats.add("RolloutReportsSent")
 }
 
 // sendVerdict tells the VMs that sent counts that the target is bad. It reaches them while the
 // store takes no writes, too.
-func (c *control) sendVerdict(name dandeliongap.ServiceName, en *rolloutEntry) {
+func (c *control) sendVerdict(name dandeliongap.ServiceName, order dandeliongap.Version, en *rolloutEntry) {
 	if c.ticks%reportTicks != 0 {
 		return
 	}
 	for _, addr := range slices.SortedFunc(maps.Keys(en.reporter.sources), netip.AddrPort.Compare) {
-		c.sendReport(rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: en.order.Version, Verdict: true}, addr)
+		c.sendReport(rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: order, Verdict: true}, addr)
 	}
 }
 
@@ -154,7 +154,13 @@
 	}
 	for _, r := range g.reports {
 		en := c.rollouts.entries[r.Service]
-		if en == nil || !en.admitted || en.order.Version != r.Order {
+		if en == nil || !en.admitted {
+			continue
+		}
+		c.e.mu.Lock()
+		v := c.e.rollouts.View(r.Service)
+		c.e.mu.Unlock()
+		if v.ID != r.Order {
 			continue
 		}
 		if r.Verdict {
@@ -166,9 +172,6 @@
 			}
 			continue
 		}
-		c.e.mu.Lock()
-		v := c.e.rollouts.View(r.Service)
-		c.e.mu.Unlock()
 		if !v.Open {
 			continue
 		}
@@ -211,7 +214,7 @@
 		return peers
 	}
 	for _, en := range c.rollouts.entries {
-		if en.state.Stage == dgrollout.All && en.state.Order == en.order.Version {
+		if en.state.Stage == dgrollout.All && en.state.Target == en.order.Target {
 			m.VM = leader
 			return append(peers, m)
 		}
--- a/dgrollout/dgrollout.go
+++ b/dgrollout/dgrollout.go
@@ -62,6 +62,12 @@
 //	X13 A new order for the service takes the place of the old one. If the old one was
 //	    open and the target is the same, counts and evidence continue. Otherwise the new
 //	    target starts from zero.
+//	X14 An order is identified by the version of the operator's write. A change of the
+//	    object that keeps the content (target and duration) and brings another status is a
+//	    write of the status, and not a new order, unless it takes back an end. The leading
+//	    VM first writes a state with the version of the order and its content, and then
+//	    the status running. A VM that saw only the status, or that missed a repeated write
+//	    of the operator, takes the version from that state.
 package dgrollout
 
 import (
@@ -147,10 +153,11 @@
 
 // State is the state of a rollout as the store holds it.
 type State struct {
-	Order  dandeliongap.Version // version of the order
-	Target dandeliongap.SoftwareVersion
-	Stage  Stage
-	Why    string `json:",omitempty"` // reason for the last change
+	Order    dandeliongap.Version // version of the operator's write (X14)
+	Target   dandeliongap.SoftwareVersion
+	Duration time.Duration // of the order
+	Stage    Stage
+	Why      string `json:",omitempty"` // reason for the last change
 	// OrderedUnixMs is when the leading VM saw the order, Unix milliseconds by its clock. A
 	// VM that starts during the rollout estimates the deadline from it.
 	OrderedUnixMs int64
@@ -171,8 +178,28 @@
 }
 
 // ended reports whether the status of an order says that it has ended.
-func ended(o dandeliongap.RolloutOrder) bool {
-	return o.Status.Target == o.Target && o.Status.State >= dandeliongap.RolloutCompleted
+func ended(o dandeliongap.RolloutOrder) bool { return ownStatus(o) >= dandeliongap.RolloutCompleted }
+
+// ownStatus returns the state in the status of an order, RolloutNone if the status is that of
+// another target.
+func ownStatus(o dandeliongap.RolloutOrder) dandeliongap.RolloutState {
+	if o.Status.Target != o.Target {
+		return dandeliongap.RolloutNone
+	}
+	return o.Status.State
+}
+
+// finalStage returns the stage of an order that has ended.
+func finalStage(o dandeliongap.RolloutOrder) Stage {
+	if ownStatus(o) == dandeliongap.RolloutCompleted {
+		return Completed
+	}
+	return RolledBack
+}
+
+// sameContent reports whether an operator wrote the same in two orders.
+func sameContent(a, b dandeliongap.RolloutOrder) bool {
+	return a.Target != "" && a.Target == b.Target && a.Duration == b.Duration
 }
 
 // Key identifies a group of responses whose counts are added up.
--- a/dgrollout/dgrollout_test.go
+++ b/dgrollout/dgrollout_test.go
@@ -337,6 +337,83 @@
 	}
 }
 
+// TestIdentity guards against a status that makes an order a new one or moves its deadline,
+// against a repeated write of the operator that is taken for a status, and against VMs that
+// disagree on the order because some of them missed a write (X14).
+func TestIdentity(t *testing.T) {
+	withStatus := func(version dandeliongap.Version, state dandeliongap.RolloutState) dandeliongap.RolloutOrder {
+		o := order(version, "v2")
+		o.Status = dandeliongap.RolloutStatus{State: state, Target: "v2"}
+		return o
+	}
+	state := func(id dandeliongap.Version, stage dgrollout.Stage) dgrollout.State {
+		return dgrollout.State{Order: id, Target: "v2", Duration: 15 * time.Second, Stage: stage}
+	}
+	begin := func() *dgrollout.Local {
+		l := newVM(1, replicas("v1", "v2")).local
+		if !l.SetOrder(at(time.Second), order(5, "v2")) || !l.SetState(svc, state(5, dgrollout.Quarter)) {
+			t.Fatal("the order does not begin")
+		}
+		return l
+	}
+	expect := func(l *dgrollout.Local, id dandeliongap.Version, stage dgrollout.Stage, open bool) {
+		t.Helper()
+		if v := l.View(svc); v.ID != id || v.Stage != stage || v.Open != open {
+			t.Errorf("order %d, %v, open %v; want %d, %v, %v", v.ID, v.Stage, v.Open, id, stage, open)
+		}
+	}
+	l := begin()
+	if l.SetOrder(at(2*time.Second), withStatus(7, dandeliongap.RolloutRunning)) || l.View(svc).Since != at(time.Second) {
+		t.Error("a status begins an order")
+	}
+	expect(l, 5, dgrollout.Quarter, true)
+	if l.SetState(svc, state(5, dgrollout.Canary)) {
+		t.Error("a state goes back")
+	}
+	l.SetOrder(at(3*time.Second), withStatus(9, dandeliongap.RolloutRolledBack))
+	expect(l, 5, dgrollout.RolledBack, false)
+	for name, again := range map[string]dandeliongap.RolloutOrder{
+		"without a status":         order(11, "v2"),
+		"with the same status":     withStatus(11, dandeliongap.RolloutRolledBack),
+		"running after its end":    withStatus(11, dandeliongap.RolloutRunning),
+		"with the status of other": {Service: svc, Target: "v2", Duration: 15 * time.Second, Version: 11, Status: dandeliongap.RolloutStatus{State: dandeliongap.RolloutRunning, Target: "v1"}},
+	} {
+		l := begin()
+		l.SetOrder(at(3*time.Second), withStatus(9, dandeliongap.RolloutRolledBack))
+		if !l.SetOrder(at(4*time.Second), again) {
+			t.Errorf("%s: a repeated write does not begin an order", name)
+		}
+		expect(l, 11, dgrollout.Canary, true)
+	}
+	// An open order that is written again begins again, and a state of the one before says
+	// nothing about it.
+	l = begin()
+	if !l.SetOrder(at(4*time.Second), order(11, "v2")) || l.View(svc).Since != at(4*time.Second) {
+		t.Error("a repeated write does not begin an order")
+	}
+	if l.Adopt(at(4*time.Second), svc, state(5, dgrollout.All), 6) || l.SetState(svc, state(5, dgrollout.All)) {
+		t.Error("the state of the order before is in force")
+	}
+	// A VM that missed the repeated write, or that started during the rollout.
+	l = begin()
+	l.SetOrder(at(4*time.Second), withStatus(13, dandeliongap.RolloutRunning))
+	if !l.Adopt(at(4*time.Second), svc, state(11, dgrollout.Canary), 12) {
+		t.Error("the order of the leading VM is not adopted")
+	}
+	expect(l, 11, dgrollout.Canary, true)
+	l = newVM(1, replicas("v1", "v2")).local
+	l.SetOrder(at(4*time.Second), withStatus(13, dandeliongap.RolloutRunning))
+	if !l.Adopt(at(4*time.Second), svc, state(11, dgrollout.Half), 15) || !l.SetState(svc, state(11, dgrollout.Half)) {
+		t.Error("the order of the leading VM is not adopted")
+	}
+	expect(l, 11, dgrollout.Half, true)
+	other := state(11, dgrollout.All)
+	other.Duration++
+	if l.Adopt(at(4*time.Second), svc, other, 20) {
+		t.Error("the state of another order is adopted")
+	}
+}
+
 // TestLostResponse guards against a leading VM that stops, repeats a step or changes its mind
 // when the response to a write is lost, and against two leading VMs that disagree: what one of
 // them writes decides, and "rolled back" is never followed by another stage.
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -53,6 +53,7 @@
 	listed    bool                           // inUse was set from a list of replicas
 	inUse     []dandeliongap.SoftwareVersion // X1
 	order     dandeliongap.RolloutOrder      // newest; Target is empty if there is none
+	id        dandeliongap.Version           // of the operator's write (X14)
 	open      bool                           // the order has not ended
 	since     dandeliongap.Instant           // when the order was seen, or that it continues
 	stage     Stage
@@ -167,32 +168,52 @@
 	s.resting = s.oldGroups(rolledBack, true)
 }
 
-// SetOrder sets the newest order of a service. An order with an object version that is not
-// newer is ignored. It reports whether the order is open and was not known before.
+// SetOrder sets the newest order of a service. An object version that is not newer is
+// ignored. It reports whether the order is open and was not known before (X14).
 func (l *Local) SetOrder(now dandeliongap.Instant, o dandeliongap.RolloutOrder) (begins bool) {
 	s := l.service(o.Service)
 	old, wasOpen := s.order, s.open
 	if o.Version <= old.Version {
 		return false
 	}
+	if continues(old, o) {
+		s.order = o
+		if ended(o) {
+			s.open, s.stage = false, finalStage(o)
+		}
+		l.update(o.Service, s)
+		return false
+	}
 	// Only the tier writes the status. An order that has ended and is written again with the
 	// same status is a new one.
 	rewritten := old.Version > 0 && ended(old) && old.Status == o.Status && !wasOpen
-	s.order, s.open = o, !ended(o) || rewritten
-	if s.open {
-		if s.stage = Canary; !wasOpen || old.Target != o.Target {
+	s.order, s.id, s.open = o, o.Version, !ended(o) || rewritten
+	s.begin(now, wasOpen && old.Target == o.Target)
+	l.update(o.Service, s)
+	return s.open
+}
+
+// continues reports whether a change of an object is a write of the status (X14).
+func continues(old, o dandeliongap.RolloutOrder) bool {
+	status := ownStatus(o)
+	return sameContent(old, o) && status != dandeliongap.RolloutNone && status != ownStatus(old) &&
+		(!ended(old) || ended(o))
+}
+
+// begin sets the state of a new order. same tells whether the order before was open and had
+// the same target (X13).
+func (s *followed) begin(now dandeliongap.Instant, same bool) {
+	if s.stage = Canary; s.open {
+		if !same {
 			s.sent, s.sentNew, s.credit, s.control = 0, 0, 0, nil
 			s.counts, s.test = make(map[Key]Counts), NewTest(now, ownBadEvidence)
 			s.pauses = make(map[dandeliongap.InstanceID]dandeliongap.Instant)
 			s.bad = false
 		}
-		// Somebody else may set the status of an open order. This does not move its deadline.
-		if statusOnly := wasOpen && old.Target == o.Target && old.Duration == o.Duration && old.Status != o.Status; !statusOnly {
-			s.since = now
-		}
+		s.since = now
+	} else if s.order.Target != "" {
+		s.stage = finalStage(s.order)
 	}
-	l.update(o.Service, s)
-	return s.open
 }
 
 // Withdraw records that an order was deleted.
@@ -201,15 +222,31 @@
 	if version <= s.order.Version {
 		return
 	}
-	s.order, s.open, s.stage, s.bad = dandeliongap.RolloutOrder{Service: name, Version: version}, false, Canary, false
+	s.order, s.id, s.open, s.stage, s.bad = dandeliongap.RolloutOrder{Service: name, Version: version}, version, false, Canary, false
 	l.update(name, s)
 }
 
+// Adopt takes the version of an order from the state that the store holds at a version, if
+// this VM has seen less of the order than the leading VM that wrote the state (X14). It
+// reports whether it does.
+func (l *Local) Adopt(now dandeliongap.Instant, name dandeliongap.ServiceName, st State, version dandeliongap.Version) bool {
+	s := l.service(name)
+	ordered := dandeliongap.RolloutOrder{Target: st.Target, Duration: st.Duration}
+	later := ownStatus(s.order) != dandeliongap.RolloutNone || version > s.order.Version
+	if !s.open || !sameContent(ordered, s.order) || st.Order == s.id || st.Order > s.order.Version || !later {
+		return false
+	}
+	s.id = st.Order
+	s.begin(now, true)
+	l.update(name, s)
+	return true
+}
+
 // SetState applies the state of a rollout as the store holds it. A state of another order
-// than the newest is ignored. It reports whether the stage changed.
+// than the newest is ignored, and so is an earlier stage. It reports whether the stage changed.
 func (l *Local) SetState(name dandeliongap.ServiceName, st State) (changed bool) {
 	s := l.service(name)
-	if !s.open || st.Order != s.order.Version || s.stage.Final() || st.Stage == s.stage {
+	if !s.open || st.Order != s.id || s.stage.Final() || st.Stage <= s.stage {
 		return false
 	}
 	s.stage, s.credit = st.Stage, 0
@@ -220,7 +257,7 @@
 // SetBad records that the leading VM takes the target of an order as bad (X9).
 func (l *Local) SetBad(name dandeliongap.ServiceName, order dandeliongap.Version) (changed bool) {
 	s := l.services[name]
-	if s == nil || !s.open || s.order.Version != order || s.bad {
+	if s == nil || !s.open || s.id != order || s.bad {
 		return false
 	}
 	s.bad = true
@@ -430,6 +467,7 @@
 // View describes the rollout of a service on this VM.
 type View struct {
 	Order   dandeliongap.RolloutOrder
+	ID      dandeliongap.Version // of the operator's write (X14)
 	Open    bool
 	Since   dandeliongap.Instant
 	Stage   Stage
@@ -446,7 +484,7 @@
 	if s == nil {
 		return View{}
 	}
-	return View{s.order, s.open, s.since, s.stage, s.bad, len(s.targets), s.sent, s.sentNew, slices.Clone(s.inUse)}
+	return View{s.order, s.id, s.open, s.since, s.stage, s.bad, len(s.targets), s.sent, s.sentNew, slices.Clone(s.inUse)}
 }
 
 // Begin makes an order count as seen earlier than it was, on a VM that started during
