--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -49,8 +49,9 @@
 	entries map[dandeliongap.ServiceName]*rolloutEntry
 	answer  dandeliongap.Instant // last answer of the store about KindRolloutStates
 	leader  dandeliongap.VMName
-	polling atomic.Bool // this VM leads and a rollout is open
-	open    bool        // a rollout is open
+	polling atomic.Bool      // this VM leads and a rollout is open
+	open    bool             // a rollout is open
+	era     dandeliongap.Era // of the last list of orders
 	// changedAt is the time of the last change of an order or a state.
 	changedAt dandeliongap.Instant
 
@@ -72,6 +73,9 @@
 	seenAt   dandeliongap.Instant
 	listed   bool // the order was in a full list, so that it may be older
 	admitted bool // passed on to dgrollout
+	// held is what a list of a new era has in place of the object (dgrollout X16), nil if
+	// nothing differs. It is deleted if the list has none.
+	held *dandeliongap.Object
 
 	state        dgrollout.State
 	stateVersion dandeliongap.Version
@@ -99,6 +103,12 @@
 func (c *control) applyRollouts(now dandeliongap.Instant, b batch) {
 	present := make(map[dandeliongap.ServiceName]bool, len(b.objects))
 	c.rollouts.changedAt = now
+	if era := b.version.Era(); b.full && era > c.rollouts.era {
+		c.rollouts.era = era
+		c.e.mu.Lock()
+		c.e.rollouts.BeginEra(now)
+		c.e.mu.Unlock()
+	}
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
 		if name == "" {
@@ -115,18 +125,47 @@
 		return
 	}
 	for name, en := range c.rollouts.entries {
-		if en.object.Name != "" && !present[name] {
+		switch {
+		case en.object.Name == "" || present[name]:
+		case c.holdOrder(now, name, en, nil):
+			en.held = &dandeliongap.Object{Version: b.version, Deleted: true}
+		default:
 			c.withdrawOrder(name, b.version)
 		}
 	}
 }
 
+// holdOrder reports whether a list that has the order o for a service, nil if none, is not
+// followed yet (dgrollout X16).
+func (c *control) holdOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, o *dandeliongap.RolloutOrder) bool {
+	c.e.mu.Lock()
+	holds := c.e.rollouts.Holds(now, name, o)
+	c.e.mu.Unlock()
+	if holds && en.held == nil {
+		c.e.log.event("rollout order held").Str("Rule", "X16").Str("Service", clip(string(name))).Uint64("Version", uint64(en.object.Version)).Bool("Missing", o == nil).Send()
+	}
+	return holds
+}
+
+// releaseOrder follows what the list of a new era had, when the grace period has ended.
+func (c *control) releaseOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry) {
+	if en.held == nil || c.holdOrder(now, name, en, nil) {
+		return
+	}
+	if o := *en.held; o.Deleted {
+		c.withdrawOrder(name, o.Version)
+	} else {
+		c.applyOrder(now, name, o, true)
+	}
+	en.held = nil
+}
+
 func (c *control) withdrawOrder(name dandeliongap.ServiceName, version dandeliongap.Version) {
 	en := c.rollouts.entry(name)
 	if version <= en.object.Version {
 		return
 	}
-	en.object, en.order, en.admitted, en.lead = dandeliongap.Object{Version: version}, dandeliongap.RolloutOrder{}, false, nil
+	en.object, en.order, en.admitted, en.lead, en.held = dandeliongap.Object{Version: version}, dandeliongap.RolloutOrder{}, false, nil, nil
 	c.e.mu.Lock()
 	c.e.rollouts.Withdraw(name, version)
 	c.e.mu.Unlock()
@@ -142,6 +181,12 @@
 	if err == nil {
 		err = dgrollout.Check(order, true)
 	}
+	if listed && c.holdOrder(now, name, en, &order) {
+		en.held = &o
+		return
+	}
+	en.held = nil
+	listed = listed || en.listed && order.Target == en.order.Target && order.Duration == en.order.Duration
 	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, now, listed, false
 	if err != nil {
 		c.e.mu.Lock()
@@ -175,7 +220,7 @@
 		en.lead = nil
 	}
 	c.e.log.event("rollout order").Str("Rule", "X13").Str("Service", clip(string(name))).Str("Target", clip(string(en.order.Target))).Dur("Duration", en.order.Duration).
-		Uint64("Version", uint64(en.order.Version)).Bool("Begins", begins).Dur("Elapsed", now.Sub(v.Since)).Int("Replicas", v.Targets).Interface("InUse", v.InUse).Send()
+		Uint64("Version", uint64(en.order.Version)).Uint64("Order", uint64(v.ID)).Bool("Begins", begins).Dur("Elapsed", now.Sub(v.Since)).Int("Replicas", v.Targets).Interface("InUse", v.InUse).Send()
 	if changed {
 		c.logStage(now, name, en, v)
 	}
@@ -185,7 +230,11 @@
 // changed. An order that this VM did not see arrive began when the state says. e.mu must be
 // held.
 func (c *control) adoptState(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry) (changed bool) {
-	if en.listed && en.admitted && en.state.Order == en.order.Version && en.state.OrderedUnixMs > 0 {
+	if !en.admitted {
+		return false
+	}
+	adopted := c.e.rollouts.Adopt(now, name, en.state, en.stateVersion)
+	if (en.listed || adopted) && en.state.Order == c.e.rollouts.View(name).ID && en.state.OrderedUnixMs > 0 {
 		age := max(0, time.Since(time.UnixMilli(en.state.OrderedUnixMs)))
 		c.e.rollouts.Begin(name, now.Add(-min(age, en.order.Duration)))
 	}
@@ -227,11 +276,13 @@
 
 // applyRolloutStates applies the states of rollouts that the leading VM wrote.
 func (c *control) applyRolloutStates(now dandeliongap.Instant, b batch) {
+	present := make(map[dandeliongap.ServiceName]bool, len(b.objects))
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
 		if name == "" {
 			continue
 		}
+		present[name] = true
 		en := c.rollouts.entry(name)
 		if o.Version <= en.stateVersion {
 			continue
@@ -256,11 +307,19 @@
 			c.logStage(now, name, en, v)
 		}
 	}
+	if !b.full {
+		return
+	}
+	for name, en := range c.rollouts.entries {
+		if !present[name] && b.version > en.stateVersion {
+			en.state, en.stateVersion = dgrollout.State{}, 0 // the stage stays (X17)
+		}
+	}
 }
 
 func (c *control) logStage(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, v dgrollout.View) {
 	c.e.log.event("rollout stage").Str("Rule", "X10").Str("Service", string(name)).Str("Target", string(v.Order.Target)).Stringer("Stage", v.Stage).Str("Why", clip(en.state.Why)).
-		Uint64("Order", uint64(v.Order.Version)).Uint64("Version", uint64(en.stateVersion)).Dur("Elapsed", now.Sub(v.Since)).
+		Uint64("Order", uint64(v.ID)).Uint64("Version", uint64(en.stateVersion)).Dur("Elapsed", now.Sub(v.Since)).
 		Float64("Sent", v.Sent).Float64("SentNew", v.SentNew).Send()
 }
 
@@ -327,6 +386,7 @@
 		e.log.event("rollout leader").Str("Rule", "X10").Str("Leader", string(leader)).Send()
 	}
 	for name, en := range r.entries {
+		c.releaseOrder(now, name, en)
 		c.admitOrder(now, name, en)
 	}
 	news := c.news(now)
@@ -369,6 +429,7 @@
 	e.mu.Lock()
 	v := e.rollouts.View(name)
 	rows := e.rollouts.Rows(name)
+	undecided := e.rollouts.Undecided(now, name)
 	e.mu.Unlock()
 	if !v.Open {
 		en.lead = nil
@@ -378,43 +439,52 @@
 		en.lead = dgrollout.NewLead(v.Since, v.Order, e.rollouts.Limits())
 	}
 	en.lead.Receive(e.opt.Settings.VM, e.boot, rows, v.Bad)
+	if undecided {
+		return
+	}
+	stored := en.state.Order == v.ID && en.state.Stage == v.Stage
 	s := dgrollout.Situation{
 		Now: now, Elapsed: now.Sub(v.Since), Stage: v.Stage, Replicas: v.Targets,
-		LongestTime: c.longestTime(name), HubsUse: c.hubsUse(now, en.stateVersion),
+		LongestTime: c.longestTime(name), HubsUse: stored && c.hubsUse(now, en.stateVersion),
 	}
 	step := en.lead.Decide(s)
-	c.logEvidence(now, name, en, s)
+	c.logEvidence(now, name, v.ID, en, s)
 	if en.lead.Bad() {
 		e.mu.Lock()
-		first := e.rollouts.SetBad(name, v.Order.Version)
+		first := e.rollouts.SetBad(name, v.ID)
 		e.mu.Unlock()
 		if first {
 			e.log.event("rollout target bad").Str("Rule", "X8").Str("Service", string(name)).Str("By", "leading VM").Send()
 		}
-		c.sendVerdict(name, en)
+		c.sendVerdict(name, v.ID, en)
 	}
 	switch {
-	case v.Stage == dgrollout.Completed:
+	case stored && v.Stage == dgrollout.Completed:
 		c.writeStatus(name, en, dandeliongap.RolloutCompleted)
-	case v.Stage == dgrollout.RolledBack:
+	case stored && v.Stage == dgrollout.RolledBack:
 		c.writeStatus(name, en, dandeliongap.RolloutRolledBack)
-	case step.Stage != v.Stage || en.state.Order != v.Order.Version:
+	case stored && step.Stage == v.Stage:
+		c.writeStatus(name, en, dandeliongap.RolloutRunning)
+	default:
+		if step.Stage == v.Stage && step.Stage != dgrollout.Canary {
+			step.Why = "written again" // the store was restored (X17)
+		}
 		c.writeState(name, en, dgrollout.State{
-			Order: v.Order.Version, Target: v.Order.Target, Stage: step.Stage, Why: step.Why,
+			Order: v.ID, Target: v.Order.Target, Duration: v.Order.Duration, Stage: step.Stage, Why: step.Why,
 			OrderedUnixMs: time.Now().Add(-s.Elapsed).UnixMilli(),
 		})
 	}
 }
 
 // logEvidence logs what the decisions about a rollout are based on, from time to time.
-func (c *control) logEvidence(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, s dgrollout.Situation) {
+func (c *control) logEvidence(now dandeliongap.Instant, name dandeliongap.ServiceName, id dandeliongap.Version, en *rolloutEntry, s dgrollout.Situation) {
 	bad := en.lead.Bad()
 	if now.Sub(en.logAt) < evidenceLogInterval && bad == en.loggedBad {
 		return
 	}
 	en.logAt, en.loggedBad = now, bad
 	against, total := en.lead.Evidence()
-	e := c.e.log.event("rollout evidence").Str("Rule", "X8").Str("Service", string(name)).Uint64("Order", uint64(en.order.Version)).Stringer("Stage", s.Stage).
+	e := c.e.log.event("rollout evidence").Str("Rule", "X8").Str("Service", string(name)).Uint64("Order", uint64(id)).Stringer("Stage", s.Stage).
 		Dur("Elapsed", s.Elapsed).Int("Replicas", s.Replicas).Bool("HubsUse", s.HubsUse).Dur("LongestTime", s.LongestTime)
 	e.Floats64("Against", against[:]).Floats64("Total", total[:])
 	oldCounts, newCounts := en.lead.Counts()
@@ -500,15 +570,16 @@
 	})
 }
 
-// writeStatus writes how an order ended, unless the status says so already.
+// writeStatus writes the status of an order, unless it says the same already. The state of
+// the order must be in the store before (dgrollout X14).
 func (c *control) writeStatus(name dandeliongap.ServiceName, en *rolloutEntry, state dandeliongap.RolloutState) {
 	status := dandeliongap.RolloutStatus{State: state, Target: en.order.Target}
-	if en.admitted && en.state.Order != en.order.Version || !en.admitted && en.order.Status == status || !c.rollouts.beginWrite(name) {
+	if en.order.Status == status || en.held != nil || !c.rollouts.beginWrite(name) {
 		return
 	}
 	object := en.object
-	c.e.log.event("rollout status").Str("Rule", "X12").Str("Service", clip(string(name))).Str("Target", clip(string(status.Target))).
-		Bool("Completed", state == dandeliongap.RolloutCompleted).Uint64("Version", uint64(object.Version)).Send()
+	c.e.log.event("rollout status").Str("Rule", "X14").Str("Service", clip(string(name))).Str("Target", clip(string(status.Target))).
+		Bool("Running", state == dandeliongap.RolloutRunning).Bool("Completed", state == dandeliongap.RolloutCompleted).Uint64("Version", uint64(object.Version)).Send()
 	c.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeCallTimeout)
 		defer cancel()
