Follow rollouts across a restore of the store (dgrollout X15 to X18)

Cause: a store restored from an older copy lacks orders, statuses and states, or has older ones under new revisions. VMs took a rewritten order for a new one, so that a target that was rolled back got requests again, and a missing order for a withdrawn one. Change: X15, an order read in the grace period with the known content is the same order, and its final status is written again; X16, a missing or other order in a list is followed only after the grace period; X17, the stage stays the latest that is known and the leading VM writes the state again first; X18, VMs tell the leading VM an order of an earlier era, and a VM that does not know it waits.

--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -49,8 +49,9 @@
 	entries map[dandeliongap.ServiceName]*rolloutEntry
 	answer  dandeliongap.Instant // last answer of the store about KindRolloutStates
 	leader  dandeliongap.VMName
-	polling atomic.Bool // this VM leads and a rollout is open
-	open    bool        // a rollout is open
+	polling atomic.Bool      // this VM leads and a rollout is open
+	open    bool             // a rollout is open
+	era     dandeliongap.Era // of the last list of orders
 	// changedAt is the time of the last change of an order or a state.
 	changedAt dandeliongap.Instant
 
@@ -72,6 +73,10 @@
 	seenAt   dandeliongap.Instant
 	listed   bool // the order was in a full list, so that it may be older
 	admitted bool // passed on to dgrollout
+	// held is what a list of a new era has in place of the object (dgrollout X16), nil if
+	// nothing differs. It is deleted if the list has none.
+	held   *dandeliongap.Object
+	heldAt dandeliongap.Instant // when it was read first
 
 	state        dgrollout.State
 	stateVersion dandeliongap.Version
@@ -99,6 +104,12 @@
 func (c *control) applyRollouts(now dandeliongap.Instant, b batch) {
 	present := make(map[dandeliongap.ServiceName]bool, len(b.objects))
 	c.rollouts.changedAt = now
+	if era := b.version.Era(); b.full && era > c.rollouts.era {
+		c.rollouts.era = era
+		c.e.mu.Lock()
+		c.e.rollouts.BeginEra(now)
+		c.e.mu.Unlock()
+	}
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
 		if name == "" {
@@ -108,32 +119,62 @@
 		if o.Deleted {
 			c.withdrawOrder(name, o.Version)
 		} else {
-			c.applyOrder(now, name, o, b.full)
+			c.applyOrder(now, now, name, o, b.full)
 		}
 	}
 	if !b.full {
 		return
 	}
 	for name, en := range c.rollouts.entries {
-		if en.object.Name != "" && !present[name] {
+		switch {
+		case en.object.Name == "" || present[name]:
+		case c.holdOrder(now, name, en, nil):
+			en.held = &dandeliongap.Object{Version: b.version, Deleted: true}
+		default:
 			c.withdrawOrder(name, b.version)
 		}
 	}
 }
 
+// holdOrder reports whether a list that has the order o for a service, nil if none, is not
+// followed yet (dgrollout X16).
+func (c *control) holdOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, o *dandeliongap.RolloutOrder) bool {
+	c.e.mu.Lock()
+	holds := c.e.rollouts.Holds(now, name, o)
+	c.e.mu.Unlock()
+	if holds && en.held == nil {
+		c.e.log.event("rollout order held").Str("Rule", "X16").Str("Service", clip(string(name))).Uint64("Version", uint64(en.object.Version)).Bool("Missing", o == nil).Send()
+	}
+	return holds
+}
+
+// releaseOrder follows what the list of a new era had, when the grace period has ended.
+func (c *control) releaseOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry) {
+	if en.held == nil || c.holdOrder(now, name, en, nil) {
+		return
+	}
+	if o := *en.held; o.Deleted {
+		c.withdrawOrder(name, o.Version)
+	} else {
+		c.applyOrder(now, en.heldAt, name, o, true)
+	}
+	en.held = nil
+}
+
 func (c *control) withdrawOrder(name dandeliongap.ServiceName, version dandeliongap.Version) {
 	en := c.rollouts.entry(name)
 	if version <= en.object.Version {
 		return
 	}
-	en.object, en.order, en.admitted, en.lead = dandeliongap.Object{Version: version}, dandeliongap.RolloutOrder{}, false, nil
+	en.object, en.order, en.admitted, en.lead, en.held = dandeliongap.Object{Version: version}, dandeliongap.RolloutOrder{}, false, nil, nil
 	c.e.mu.Lock()
 	c.e.rollouts.Withdraw(name, version)
 	c.e.mu.Unlock()
 	c.e.log.event("rollout withdrawn").Str("Rule", "X12").Str("Service", clip(string(name))).Uint64("Version", uint64(version)).Send()
 }
 
-func (c *control) applyOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, o dandeliongap.Object, listed bool) {
+// applyOrder applies an order that was seen first at seenAt, from which its deadline counts.
+func (c *control) applyOrder(now, seenAt dandeliongap.Instant, name dandeliongap.ServiceName, o dandeliongap.Object, listed bool) {
 	en := c.rollouts.entry(name)
 	if o.Version <= en.object.Version {
 		return
@@ -142,8 +183,16 @@
 	if err == nil {
 		err = dgrollout.Check(order, true)
 	}
+	if listed && c.holdOrder(now, name, en, &order) {
+		if en.held == nil || en.held.Version != o.Version {
+			en.heldAt = now
+		}
+		en.held = &o
+		return
+	}
+	en.held = nil
 	listed = listed || en.listed && order.Target == en.order.Target && order.Duration == en.order.Duration
-	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, now, listed, false
+	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, seenAt, listed, false
 	if err != nil {
 		c.e.mu.Lock()
 		c.e.rollouts.Withdraw(name, o.Version) // the order before is abandoned
@@ -232,11 +281,13 @@
 
 // applyRolloutStates applies the states of rollouts that the leading VM wrote.
 func (c *control) applyRolloutStates(now dandeliongap.Instant, b batch) {
+	present := make(map[dandeliongap.ServiceName]bool, len(b.objects))
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
 		if name == "" {
 			continue
 		}
+		present[name] = true
 		en := c.rollouts.entry(name)
 		if o.Version <= en.stateVersion {
 			continue
@@ -261,6 +312,14 @@
 			c.logStage(now, name, en, v)
 		}
 	}
+	if !b.full {
+		return
+	}
+	for name, en := range c.rollouts.entries {
+		if !present[name] && b.version > en.stateVersion {
+			en.state, en.stateVersion = dgrollout.State{}, 0 // the stage stays (X17)
+		}
+	}
 }
 
 func (c *control) logStage(now dandeliongap.Instant, name dandeliongap.ServiceName, en *rolloutEntry, v dgrollout.View) {
@@ -332,6 +391,7 @@
 		e.log.event("rollout leader").Str("Rule", "X10").Str("Leader", string(leader)).Send()
 	}
 	for name, en := range r.entries {
+		c.releaseOrder(now, name, en)
 		c.admitOrder(now, name, en)
 	}
 	news := c.news(now)
@@ -374,6 +434,7 @@
 	e.mu.Lock()
 	v := e.rollouts.View(name)
 	rows := e.rollouts.Rows(name)
+	undecided := e.rollouts.Undecided(now, name)
 	e.mu.Unlock()
 	if !v.Open {
 		en.lead = nil
@@ -383,9 +444,13 @@
 		en.lead = dgrollout.NewLead(v.Since, v.Order, e.rollouts.Limits())
 	}
 	en.lead.Receive(e.opt.Settings.VM, e.boot, rows, v.Bad)
+	if undecided {
+		return
+	}
+	stored := en.state.Order == v.ID && en.state.Stage == v.Stage
 	s := dgrollout.Situation{
 		Now: now, Elapsed: now.Sub(v.Since), Stage: v.Stage, Replicas: v.Targets,
-		LongestTime: c.longestTime(name), HubsUse: c.hubsUse(now, en.stateVersion),
+		LongestTime: c.longestTime(name), HubsUse: stored && c.hubsUse(now, en.stateVersion),
 	}
 	step := en.lead.Decide(s)
 	c.logEvidence(now, name, v.ID, en, s)
@@ -399,13 +464,16 @@
 		c.sendVerdict(name, v.ID, en)
 	}
 	switch {
-	case v.Stage == dgrollout.Completed:
+	case stored && v.Stage == dgrollout.Completed:
 		c.writeStatus(name, en, dandeliongap.RolloutCompleted)
-	case v.Stage == dgrollout.RolledBack:
+	case stored && v.Stage == dgrollout.RolledBack:
 		c.writeStatus(name, en, dandeliongap.RolloutRolledBack)
-	case step.Stage == v.Stage && en.state.Order == v.ID:
+	case stored && step.Stage == v.Stage:
 		c.writeStatus(name, en, dandeliongap.RolloutRunning)
 	default:
+		if step.Stage == v.Stage && step.Stage != dgrollout.Canary {
+			step.Why = "written again" // the store was restored (X17)
+		}
 		c.writeState(name, en, dgrollout.State{
 			Order: v.ID, Target: v.Order.Target, Duration: v.Order.Duration, Stage: step.Stage, Why: step.Why,
 			OrderedUnixMs: time.Now().Add(-s.Elapsed).UnixMilli(),
@@ -511,7 +579,7 @@
 // the order must be in the store before (dgrollout X14).
 func (c *control) writeStatus(name dandeliongap.ServiceName, en *rolloutEntry, state dandeliongap.RolloutState) {
 	status := dandeliongap.RolloutStatus{State: state, Target: en.order.Target}
-	if en.order.Status == status || !c.rollouts.beginWrite(name) {
+	if en.order.Status == status || en.held != nil || !c.rollouts.beginWrite(name) {
 		return
 	}
 	object := en.object
--- a/dgedge/rollout_evidence.go
+++ b/dgedge/rollout_evidence.go
@@ -38,6 +38,9 @@
 	Bad     bool        `json:",omitempty"` // the sender has found that the target is bad
 	Verdict bool        `json:",omitempty"`
 	Rows    []reportRow `json:",omitempty"`
+	// State is what the sender knows of an order from an earlier era of the store, while the
+	// store has another state (dgrollout X18).
+	State *dgrollout.State `json:",omitempty"`
 }
 
 // reportRow is a row in the form in which it is sent, a JSON array: the names of its fields
@@ -120,10 +123,14 @@
 	c.e.mu.Unlock()
 	rows = en.reporter.next(rows)
 	addr, err := netip.ParseAddrPort(m.Gossip)
-	if err != nil || len(rows) == 0 && !v.Bad {
+	r := rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: v.ID, Bad: v.Bad, Rows: reportRows(rows)}
+	if v.ID.Era() < v.Order.Version.Era() && (en.state.Order != v.ID || en.state.Stage < v.Stage) {
+		r.State = &dgrollout.State{Order: v.ID, Target: v.Order.Target, Duration: v.Order.Duration, Stage: v.Stage}
+	}
+	if err != nil || len(rows) == 0 && !v.Bad && r.State == nil {
 		return
 	}
-	c.sendReport(rolloutReport{VM: c.e.opt.Settings.VM, Boot: c.e.boot, Service: name, Order: v.ID, Bad: v.Bad, Rows: reportRows(rows)}, addr)
+	c.sendReport(r, addr)
 	c.e.stats.add("RolloutReportsSent")
 }
 
@@ -158,8 +165,13 @@
 			continue
 		}
 		c.e.mu.Lock()
+		recalled := r.State != nil && !r.Verdict && c.e.rollouts.Recall(c.e.now(), r.Service, *r.State)
 		v := c.e.rollouts.View(r.Service)
 		c.e.mu.Unlock()
+		if recalled {
+			c.e.log.event("rollout recalled").Str("Rule", "X18").Str("Service", string(r.Service)).Str("From", clip(string(r.VM))).
+				Uint64("Order", uint64(v.ID)).Stringer("Stage", v.Stage).Send()
+		}
 		if v.ID != r.Order {
 			continue
 		}
--- a/dgrollout/dgrollout.go
+++ b/dgrollout/dgrollout.go
@@ -68,6 +68,25 @@
 //	    VM first writes a state with the version of the order and its content, and then
 //	    the status running. A VM that saw only the status, or that missed a repeated write
 //	    of the operator, takes the version from that state.
+//
+// When the store was restored from an older copy, a new era begins (package dgrestore). The
+// grace period is dgcatalog.ReregistrationGrace from the first list of orders of the era, and
+// of a VM that starts.
+//
+//	X15 An order that is read in the grace period with the content of the known one is the
+//	    same order, whatever its version and status: stage, deadline, evidence and exposure
+//	    continue. If it had ended, it stays ended, and its status is written again. An end
+//	    that only the copy knows does not end it.
+//	X16 An order that is missing from a list in the grace period, or that has another content
+//	    there, is kept until its end. A removal or a new order that is read as a change takes
+//	    effect at once.
+//	X17 The stage of an order stays the latest that the VM knows, whatever state the copy
+//	    has. The leading VM writes the state again, before a status. Until then no hub
+//	    counts as using it (X11).
+//	X18 A VM that knows an order from an earlier era tells the leading VM its version and
+//	    stage while the state in the store is another one. A VM that read the order first in
+//	    the grace period takes both from there, or from a state of an earlier era. Until the
+//	    grace period ends it sends no canary requests for the order, and decides nothing.
 package dgrollout
 
 import (
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -8,6 +8,7 @@
 
 	"dandeliongap.example/dandeliongap"
 	"dandeliongap.example/dandeliongap/dgbalance"
+	"dandeliongap.example/dandeliongap/dgcatalog"
 )
 
 const (
@@ -54,6 +55,8 @@
 	inUse     []dandeliongap.SoftwareVersion // X1
 	order     dandeliongap.RolloutOrder      // newest; Target is empty if there is none
 	id        dandeliongap.Version           // of the operator's write (X14)
+	doubtful  bool                           // the order was read first in a grace period (X18)
+	doubtEnd  dandeliongap.Instant           // end of that grace period
 	open      bool                           // the order has not ended
 	since     dandeliongap.Instant           // when the order was seen, or that it continues
 	stage     Stage
@@ -78,6 +81,7 @@
 	limits   Limits
 	share    float64 // of the slack that this VM has
 	news     dandeliongap.Instant
+	graceEnd dandeliongap.Instant // X15 to X18 apply until then
 	services map[dandeliongap.ServiceName]*followed
 	replicas map[dandeliongap.ServiceName][]dandeliongap.Instance
 }
@@ -104,6 +108,26 @@
 	return now.Sub(l.news) <= limit
 }
 
+// BeginEra records that the next list of orders is the first of an era of the store, or the
+// first that this VM reads while the store has eras.
+func (l *Local) BeginEra(now dandeliongap.Instant) {
+	l.graceEnd = now.Add(dgcatalog.ReregistrationGrace)
+}
+
+// Holds reports whether a list that has the order o for a service, nil if none, is not
+// followed yet (X16).
+func (l *Local) Holds(now dandeliongap.Instant, name dandeliongap.ServiceName, o *dandeliongap.RolloutOrder) bool {
+	s := l.services[name]
+	return now < l.graceEnd && s != nil && s.order.Version > 0 && (o == nil || !sameContent(s.order, *o))
+}
+
+// Undecided reports whether the order of a service may be one of an earlier era that this VM
+// does not know (X18).
+func (l *Local) Undecided(now dandeliongap.Instant, name dandeliongap.ServiceName) bool {
+	s := l.services[name]
+	return s != nil && s.doubtful && now < s.doubtEnd
+}
+
 func (l *Local) service(name dandeliongap.ServiceName) *followed {
 	s := l.services[name]
 	if s == nil {
@@ -176,6 +200,14 @@
 	if o.Version <= old.Version {
 		return false
 	}
+	if now < l.graceEnd && sameContent(old, o) {
+		s.order = o
+		if s.stage.Final() {
+			s.open = !ended(o) || finalStage(o) != s.stage
+		}
+		l.update(o.Service, s)
+		return false
+	}
 	if continues(old, o) {
 		s.order = o
 		if ended(o) {
@@ -187,7 +219,8 @@
 	// Only the tier writes the status. An order that has ended and is written again with the
 	// same status is a new one.
 	rewritten := old.Version > 0 && ended(old) && old.Status == o.Status && !wasOpen
-	s.order, s.id, s.open = o, o.Version, !ended(o) || rewritten
+	s.order, s.id, s.open, s.doubtful = o, o.Version, !ended(o) || rewritten, now < l.graceEnd
+	s.doubtEnd = l.graceEnd
 	s.begin(now, wasOpen && old.Target == o.Target)
 	l.update(o.Service, s)
 	return s.open
@@ -232,16 +265,35 @@
 func (l *Local) Adopt(now dandeliongap.Instant, name dandeliongap.ServiceName, st State, version dandeliongap.Version) bool {
 	s := l.service(name)
 	ordered := dandeliongap.RolloutOrder{Target: st.Target, Duration: st.Duration}
-	later := ownStatus(s.order) != dandeliongap.RolloutNone || version > s.order.Version
-	if !s.open || !sameContent(ordered, s.order) || st.Order == s.id || st.Order > s.order.Version || !later {
+	later := ownStatus(s.order) != dandeliongap.RolloutNone || version > s.order.Version ||
+		s.doubtful && now < s.doubtEnd && st.Order.Era() < s.id.Era()
+	carried := s.id.Era() < s.order.Version.Era() // X15; a later state is of a VM that does not know
+	if !s.open || !sameContent(ordered, s.order) || st.Order == s.id || st.Order > s.order.Version || !later || carried && st.Order > s.id {
 		return false
 	}
-	s.id = st.Order
+	s.id, s.doubtful = st.Order, false
 	s.begin(now, true)
 	l.update(name, s)
 	return true
 }
 
+// Recall takes over what another VM knows of an order from an earlier era (X18). It reports
+// whether the version or the stage of the order changed.
+func (l *Local) Recall(now dandeliongap.Instant, name dandeliongap.ServiceName, st State) (changed bool) {
+	s := l.services[name]
+	ordered := dandeliongap.RolloutOrder{Target: st.Target, Duration: st.Duration}
+	if s == nil || !s.open || !sameContent(ordered, s.order) || st.Order.Era() >= s.order.Version.Era() {
+		return false
+	}
+	if s.doubtful && st.Order < s.id {
+		s.id, s.doubtful = st.Order, false
+		s.begin(now, true)
+		l.update(name, s)
+		changed = true
+	}
+	return l.SetState(name, st) || changed
+}
+
 // SetState applies the state of a rollout as the store holds it. A state of another order
 // than the newest is ignored, and so is an earlier stage. It reports whether the stage changed.
 func (l *Local) SetState(name dandeliongap.ServiceName, st State) (changed bool) {
@@ -250,6 +302,9 @@
 		return false
 	}
 	s.stage, s.credit = st.Stage, 0
+	if s.stage.Final() && ended(s.order) && finalStage(s.order) == s.stage {
+		s.open = false // the status was read first, in a grace period
+	}
 	l.update(name, s)
 	return true
 }
@@ -282,7 +337,7 @@
 		return s.oldGroups(true, extra)
 	case s.stage == All:
 		return []dgbalance.Group{{Only: target}}
-	case extra || len(s.targets) == 0 || !s.permits(now, l.limits, l.share):
+	case extra || len(s.targets) == 0 || s.doubtful && now < s.doubtEnd || !s.permits(now, l.limits, l.share):
 		return s.oldGroups(true, extra)
 	}
 	groups := make([]dgbalance.Group, 0, 5)
