--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -75,7 +75,8 @@
 	admitted bool // passed on to dgrollout
 	// held is what a list of a new era has in place of the object (dgrollout X16), nil if
 	// nothing differs. It is deleted if the list has none.
-	held *dandeliongap.Object
+	held   *dandeliongap.Object
+	heldAt dandeliongap.Instant // when it was read first
 
 	state        dgrollout.State
 	stateVersion dandeliongap.Version
@@ -118,7 +119,7 @@
 		if o.Deleted {
 			c.withdrawOrder(name, o.Version)
 		} else {
-			c.applyOrder(now, name, o, b.full)
+			c.applyOrder(now, now, name, o, b.full)
 		}
 	}
 	if !b.full {
@@ -155,7 +156,7 @@
 	if o := *en.held; o.Deleted {
 		c.withdrawOrder(name, o.Version)
 	} else {
-		c.applyOrder(now, name, o, true)
+		c.applyOrder(now, en.heldAt, name, o, true)
 	}
 	en.held = nil
 }
@@ -172,7 +173,8 @@
 	c.e.log.event("rollout withdrawn").Str("Rule", "X12").Str("Service", clip(string(name))).Uint64("Version", uint64(version)).Send()
 }
 
-func (c *control) applyOrder(now dandeliongap.Instant, name dandeliongap.ServiceName, o dandeliongap.Object, listed bool) {
+// applyOrder applies an order that was seen first at seenAt, from which its deadline counts.
+func (c *control) applyOrder(now, seenAt dandeliongap.Instant, name dandeliongap.ServiceName, o dandeliongap.Object, listed bool) {
 	en := c.rollouts.entry(name)
 	if o.Version <= en.object.Version {
 		return
@@ -182,12 +184,15 @@
 		err = dgrollout.Check(order, true)
 	}
 	if listed && c.holdOrder(now, name, en, &order) {
+		if en.held == nil || en.held.Version != o.Version {
+			en.heldAt = now
+		}
 		en.held = &o
 		return
 	}
 	en.held = nil
 	listed = listed || en.listed && order.Target == en.order.Target && order.Duration == en.order.Duration
-	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, now, listed, false
+	en.object, en.order, en.err, en.seenAt, en.listed, en.admitted = o, order, err, seenAt, listed, false
 	if err != nil {
 		c.e.mu.Lock()
 		c.e.rollouts.Withdraw(name, o.Version) // the order before is abandoned
