Send more than the quota in the soak, and report how much of it was used

Nothing showed whether the steps of accounts and rollouts can break their promises.

Rate and burst of the accounts are 25/s and 10, hot callers wait an eighth of the usual time and leave out the archive, and removed keys are sent for 3 s longer than before. The report has the highest share of what K21 allows, and the requests refused for their key or quota. Seeds with rollouts have two to four steps of these in the first 10 s. An order that got no final status is removed before the servers of its version drain.

--- a/dgcommand/soak.go
+++ b/dgcommand/soak.go
@@ -18,7 +18,7 @@
 	Program  string        `default:"target/dandeliongap-edge" help:"The daemon." type:"path"`
 	Seed     []uint64      `help:"Seeds to play; may be repeated. Default: --seeds fresh ones."`
 	Seeds    int           `default:"1" help:"Number of fresh seeds."`
-	For      time.Duration `default:"20s" help:"Time in which faults begin. A soak takes some 25 s longer."`
+	For      time.Duration `default:"20s" help:"Time in which faults begin. A soak takes 25 to 45 s longer."`
 	VMs      int           `name:"vms" default:"6" help:"Number of VMs."`
 	Parallel int           `default:"1" help:"Soaks that run at the same time."`
 	Only     []int         `help:"Numbers of the steps to play, from 1, to cut a failing seed down. Default: all."`
--- a/dgsoak/account.go
+++ b/dgsoak/account.go
@@ -13,15 +13,18 @@
 	// that have a limit.
 	accountCount, limitedAccounts = 4, 3
 	// usualRate and usualBurst are above what the callers of an account send unless it is
-	// hot. lowRate and lowBurst are far below it.
-	usualRate, usualBurst = 40, 20
+	// hot, some 20 a second. lowRate and lowBurst are far below it.
+	usualRate, usualBurst = 25, 10
 	lowRate, lowBurst     = 3, 3
-	// hotFactor is how much more often than usual the callers of a hot account send.
-	// They send 33 requests a second at most otherwise.
-	hotFactor = 5
+	// hotFactor is how much more often than usual the callers of a hot account would send
+	// without waiting for responses.
+	hotFactor = 8
 	// hotSlack is added to Step.For while an account is hot, so that it is so for more than
-	// a window of the quota in some steps.
-	hotSlack = 3 * time.Second
+	// a window of the quota.
+	hotSlack = 5 * time.Second
+	// revokeSlack is added to Bounds.Revoke and Step.For while callers go on sending a removed
+	// key, so that they do so long enough after the bound (K20).
+	revokeSlack = 3 * time.Second
 	// keylessCaller has no key. removedKeyCaller has one that was removed before any VM
 	// started.
 	keylessCaller, removedKeyCaller = callerCount - 2, callerCount - 1
@@ -127,7 +130,7 @@
 		}); err != nil {
 			return err
 		}
-		time.Sleep(s.opt.Bounds.Revoke + step.For)
+		time.Sleep(s.opt.Bounds.Revoke + step.For + revokeSlack)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if a.sent[1] == key {
--- a/dgsoak/callers.go
+++ b/dgsoak/callers.go
@@ -18,7 +18,7 @@
 	// are orders.
 	searchShare, fetchShare = 0.6, 0.25
 	// stickyArchiveShare is the share of the requests of sticky callers that go to the
-	// archive.
+	// archive, unless their account is hot: it is slow.
 	stickyArchiveShare = 0.4
 	// publicShare is the share of the orders that go to the public route instead, in
 	// seeds with accounts.
@@ -84,7 +84,7 @@
 	name, method, body := routeOrder, "POST", fmt.Sprintf("order of %s", id)
 	p := c.rng.Float64()
 	switch {
-	case c.sticky && c.rng.Float64() < stickyArchiveShare:
+	case c.sticky && c.rng.Float64() < stickyArchiveShare && c.s.operator.speed(c.number, c.s.now()) == 1:
 		name, method, body = routeArchive, "GET", ""
 	case p < searchShare:
 		name, method, body = routeSearch, "GET", ""
--- a/dgsoak/check_accounts.go
+++ b/dgsoak/check_accounts.go
@@ -132,7 +132,12 @@
 					n, end = n+1, max(end, r.arrived)
 				}
 			}
-			if allowed, ok := c.allowed(name, first.sent, end, superseded); ok && float64(n) > allowed {
+			allowed, ok := c.allowed(name, first.sent, end, superseded)
+			if !ok {
+				continue
+			}
+			c.QuotaUse = max(c.QuotaUse, float64(n)/allowed)
+			if float64(n) > allowed {
 				c.report("K21", end, "%d requests of %s ran within %v, %.1f are allowed", n, name, window, allowed)
 				break
 			}
--- a/dgsoak/ledger.go
+++ b/dgsoak/ledger.go
@@ -107,6 +107,7 @@
 	Orders       []*Order
 	Usages       map[string]Usage // by VM and process
 	Found        []Violation      // found while the soak ran
+	QuotaUse     float64          // highest share of what K21 allows, set by Check
 	QuietFrom    dandeliongap.Instant
 	EndedAt      dandeliongap.Instant
 }
--- a/dgsoak/rollout.go
+++ b/dgsoak/rollout.go
@@ -32,8 +32,11 @@
 
 // String tells what became of the order.
 func (o *Order) String() string {
-	state := [...]string{"no status", "running", "completed", "rolled back"}[o.State]
-	return fmt.Sprintf("%.1f s %s to %s, bad %t: %s after %.1f s", time.Duration(o.At).Seconds(), o.Service, o.Version, o.Bad, state, o.StateAt.Sub(o.At).Seconds())
+	state := "no status"
+	if o.State != dandeliongap.RolloutNone {
+		state = fmt.Sprintf("%s after %.1f s", [...]string{"", "running", "completed", "rolled back"}[o.State], o.StateAt.Sub(o.At).Seconds())
+	}
+	return fmt.Sprintf("%.1f s %s to %s, bad %t: %s", time.Duration(o.At).Seconds(), o.Service, o.Version, o.Bad, state)
 }
 
 // versions are the versions of the servers of a service.
@@ -160,7 +163,7 @@
 		}
 		return nil
 	}
-	if step.Kind == OrderWithdrawn {
+	if o.State != dandeliongap.RolloutRolledBack {
 		s.opt.Platform.Withdraw(service)
 	}
 	err := s.drainTrial(s.fleet.endTrial(service, false))
--- a/dgsoak/schedule.go
+++ b/dgsoak/schedule.go
@@ -160,8 +160,9 @@
 // Two of rolloutSeeds seeds have rollouts. The others show that nothing changes without them.
 const rolloutSeeds = 3
 
-// lastOrder limits the times of the steps of rollouts, which take longer than others.
-const lastOrder = 6 * time.Second
+// lastOrder limits the times of the steps of rollouts, which take longer than others. Those
+// that begin last are completed when most faults are over, so that K24 applies.
+const lastOrder = 10 * time.Second
 
 // HasRollouts reports whether the versions of backend servers change in a seed.
 func HasRollouts(seed uint64) bool { return seed%rolloutSeeds != 0 }
@@ -173,7 +174,7 @@
 		return nil
 	}
 	rng := rand.New(rand.NewPCG(seed, 3<<32))
-	for range 1 + rng.IntN(3) {
+	for range 2 + rng.IntN(3) {
 		out = append(out, Step{
 			Kind: OrderGood + Kind(rng.IntN(int(StartUnordered-OrderGood)+1)), At: firstStep + time.Duration(rng.Int64N(int64(min(length, lastOrder)-firstStep))),
 			For: shortestStep + time.Duration(rng.Int64N(int64(longestStep-shortestStep))), Target: rng.Uint32(), Variant: rng.Uint32(),
--- a/dgsoak/soak.go
+++ b/dgsoak/soak.go
@@ -56,11 +56,14 @@
 	Length     time.Duration
 	Steps      []string
 	Requests   int
-	Served     int // with success
-	Refused    int // as not run
-	Failed     int // all others
-	Arrivals   int // at backend servers
-	Starts     int // of processes
+	Served     int     // with success
+	Refused    int     // as not run
+	Failed     int     // all others
+	NoKey      int     // refused for their key, and counted in Refused
+	Limited    int     // refused for the quota of their account, and counted in Refused
+	QuotaUse   float64 // highest share that an account used of what K21 allows
+	Arrivals   int     // at backend servers
+	Starts     int     // of processes
 	MostMemory int64
 	MostFiles  int
 	Orders     []string // and what became of them
@@ -300,11 +303,18 @@
 func (s *soak) report(steps []Step) Report {
 	r := Report{Seed: s.opt.Seed, VMs: s.opt.VMs, Length: s.opt.Length, Dir: s.opt.Dir}
 	r.Violations = Check(&s.ledger, s.opt.Bounds, s.opt.Untimed)
+	r.QuotaUse = s.ledger.QuotaUse
 	for _, step := range steps {
 		r.Steps = append(r.Steps, step.String())
 	}
 	for _, x := range s.ledger.Exchanges {
 		r.Requests++
+		switch x.Response.Status {
+		case 401:
+			r.NoKey++
+		case 429:
+			r.Limited++
+		}
 		switch {
 		case x.Response.Status/100 == 2:
 			r.Served++
