--- a/dgsoak/account.go
+++ b/dgsoak/account.go
@@ -22,6 +22,9 @@
 	// hotSlack is added to Step.For while an account is hot, so that it is so for more than
 	// a window of the quota.
 	hotSlack = 5 * time.Second
+	// revokeSlack is added to Bounds.Revoke and Step.For while callers go on sending a removed
+	// key, so that they do so long enough after the bound (K20).
+	revokeSlack = 3 * time.Second
 	// keylessCaller has no key. removedKeyCaller has one that was removed before any VM
 	// started.
 	keylessCaller, removedKeyCaller = callerCount - 2, callerCount - 1
@@ -127,7 +130,7 @@
 		}); err != nil {
 			return err
 		}
-		time.Sleep(s.opt.Bounds.Revoke + step.For)
+		time.Sleep(s.opt.Bounds.Revoke + step.For + revokeSlack)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if a.sent[1] == key {
