Keep evidence of an order that a restored store opens again

Cause: a VM that started after a rollout had ended has no evidence of its order.

Change: such an order begins with no evidence.

Result: TestRestoredAfterStart panics before and passes now.

--- a/dgrollout/era_test.go
+++ b/dgrollout/era_test.go
@@ -204,3 +204,28 @@
 		t.Error("a later stage is ignored")
 	}
 }
+
+// TestRestoredAfterStart guards against a VM that panics, and hangs with its lock held, when it
+// started after an order had ended and a restored store then has the order without its end: it
+// has kept no evidence of that order (soak seed 1796608347363882851).
+func TestRestoredAfterStart(t *testing.T) {
+	for _, end := range []dandeliongap.RolloutState{dandeliongap.RolloutCompleted, dandeliongap.RolloutRolledBack} {
+		v := newVM(1, replicas("v1", "v2"))
+		if v.local.SetOrder(at(time.Second), withState(rev(1, 30), end)) {
+			t.Fatal("an order that has ended begins")
+		}
+		stage := v.local.View(svc).Stage
+		now := at(restoredAt)
+		v.local.BeginEra(now)
+		if v.local.SetOrder(now, withState(rev(2, 21), dandeliongap.RolloutNone)) {
+			t.Errorf("%v: the order of the copy begins", stage)
+		}
+		v.count(restoredAt, restoredAt+time.Second, "v2")
+		if bad := v.local.Judge(now + at(time.Second)); len(bad) > 0 {
+			t.Errorf("%v: found bad without evidence", stage)
+		}
+		if got := v.local.View(svc); !got.Open || got.Stage != stage {
+			t.Errorf("%v: open %t, stage %v; want the end to be written again", stage, got.Open, got.Stage)
+		}
+	}
+}
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -205,6 +205,9 @@
 		if s.stage.Final() {
 			s.open = !ended(o) || finalStage(o) != s.stage
 		}
+		if s.open && s.test == nil {
+			s.clearEvidence(now) // the VM started after the end of the order
+		}
 		l.update(o.Service, s)
 		return false
 	}
@@ -239,8 +242,7 @@
 	if s.stage = Canary; s.open {
 		if !same {
 			s.sent, s.sentNew, s.credit, s.control = 0, 0, 0, nil
-			s.counts, s.test = make(map[Key]Counts), NewTest(now, ownBadEvidence)
-			s.pauses = make(map[dandeliongap.InstanceID]dandeliongap.Instant)
+			s.clearEvidence(now)
 			s.bad = false
 		}
 		s.since = now
@@ -249,6 +251,11 @@
 	}
 }
 
+func (s *followed) clearEvidence(now dandeliongap.Instant) {
+	s.counts, s.test = make(map[Key]Counts), NewTest(now, ownBadEvidence)
+	s.pauses = make(map[dandeliongap.InstanceID]dandeliongap.Instant)
+}
+
 // Withdraw records that an order was deleted.
 func (l *Local) Withdraw(name dandeliongap.ServiceName, version dandeliongap.Version) {
 	s := l.service(name)
