--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -448,4 +448,5 @@
 	c.removeLostMembers(now)
 	c.askRoutes(now)
 	c.e.log.reportDropped()
+	c.e.log.flush()
 }
--- a/dgedge/log.go
+++ b/dgedge/log.go
@@ -32,6 +32,7 @@
 	queue   diode.Writer
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	written atomic.Bool // a line was written since the last call of flush
 	once    sync.Once
 }
 
@@ -45,6 +46,7 @@
 // event begins a line about the process or its view of the tier. Such lines are not
 // rate-limited.
 func (l *eventLog) event(msg string) *zerolog.Event {
+	l.written.Store(true)
 	return l.out.Log().Str("Time", time.Now().UTC().Format(LogTimeFormat)).Str("Msg", msg)
 }
 
@@ -65,6 +67,15 @@
 	}
 }
 
+// flush wakes the goroutine that writes the queued lines. diode.Writer signals a new line
+// without holding its lock, and the signal is lost if the goroutine is just about to wait: the
+// line would then stay in the queue until the next one. flush is called a few times a second.
+func (l *eventLog) flush() {
+	if l.written.Swap(false) {
+		_, _ = l.queue.Write(nil) // never fails, and writes nothing
+	}
+}
+
 func (l *eventLog) close() {
 	l.once.Do(func() {
 		l.reportDropped()
