Keep sending to the target in the last stage of a rollout without news (dgrollout X4)

Cause: a VM without news went back to the old replicas in the stage All too. If the store and the leading VM were silent then, the leading VM, which had seen that all hubs use the stage, wrote 'completed' as soon as the store took the write, and the platform stopped replicas that got requests.

Change: in that stage a VM goes on sending to the target; its own evidence and a verdict still end this.

--- a/dgrollout/dgrollout.go
+++ b/dgrollout/dgrollout.go
@@ -17,8 +17,10 @@
 //	    of Limits.Slack. The slack becomes available gradually once a replica of the target
 //	    is no longer cold. This bounds the exposure of all VMs together without
 //	    communication. Retries and hedges go to the old versions.
-//	X4  A VM that has received nothing newer for FreshFor (at most half of Limits.Rollback), from the store or from the
-//	    leading VM, sends nothing to the target while the order is open.
+//	X4  A VM that has received nothing newer for FreshFor (at most half of
+//	    Limits.Rollback), from the store or from the leading VM, sends nothing to the target
+//	    before the stage All. In that stage it goes on sending to the target: it has
+//	    reported that it does, and the old replicas may be stopped without notice (X11).
 //	X5  Canary requests come in cycles. For one third of a cycle they are sent as the
 //	    permits come in, for one third the permits are saved, and in the last third they
 //	    are spent at one replica, so that a version that is bad only under load is found.
--- a/dgrollout/local.go
+++ b/dgrollout/local.go
@@ -340,11 +340,11 @@
 	switch {
 	case s.stage == Completed:
 		return []dgbalance.Group{{Only: target}}
-	case s.bad || s.stage == RolledBack || !l.fresh(now):
+	case s.bad || s.stage == RolledBack:
 		return s.oldGroups(true, extra)
 	case s.stage == All:
 		return []dgbalance.Group{{Only: target}}
-	case extra || len(s.targets) == 0 || s.doubtful && now < s.doubtEnd || !s.permits(now, l.limits, l.share):
+	case !l.fresh(now) || extra || len(s.targets) == 0 || s.doubtful && now < s.doubtEnd || !s.permits(now, l.limits, l.share):
 		return s.oldGroups(true, extra)
 	}
 	groups := make([]dgbalance.Group, 0, 5)
