Let only VMs that follow rollouts count as readers of their kinds (dgwatch W8)

Cause: VMs of the version before, or without the setting, counted among the six readers. While all six were of that sort, running VMs that take part in rollouts pulled from nobody who had the kinds, and learned of no order.

Change: the role for these kinds is worked out among the VMs that follow them.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -98,6 +98,7 @@
 	behindSince   map[string]dandeliongap.Instant // by kind: when another VM was found to have a newer change, or when the last hint was sent
 	presentOthers atomic.Int64                    // number of other hubs that are alive
 	currentRole   atomic.Int32                    // a dgwatch.Role
+	rolloutRole   atomic.Int32                    // that for rolloutKinds (dgwatch W8)
 	lastSender    atomic.Pointer[string]          // address that sent the last heartbeats
 	// readersFailing is set while this VM pulls changes and all of the first
 	// dgwatch.ReaderCount VMs report that their calls to the store fail (dgwatch W2).
@@ -331,7 +332,7 @@
 			delete(c.behindSince, kind)
 		case c.behindSince[kind] == 0:
 			c.behindSince[kind] = now
-			if c.role() == dgwatch.Reader && len(c.failingKinds) == 0 {
+			if c.roleFor(kind) == dgwatch.Reader && len(c.failingKinds) == 0 {
 				continue
 			}
 			f.setSources(c.newerSources(now, kind), newest)
--- a/dgedge/follow.go
+++ b/dgedge/follow.go
@@ -152,7 +152,7 @@
 		if f.since > 0 && !f.confirmed && f.confirmFromHub() {
 			continue
 		}
-		if f.since > 0 && f.confirmed && f.c.role() == dgwatch.Puller {
+		if f.since > 0 && f.confirmed && f.c.roleFor(f.kind) == dgwatch.Puller {
 			f.pullFor(roleCheckInterval, true)
 			continue
 		}
@@ -274,7 +274,7 @@
 	switch {
 	case f.failures <= 1:
 		f.c.sleep(firstRetryDelay)
-	case f.c.role() == dgwatch.Retrier:
+	case f.c.roleFor(f.kind) == dgwatch.Retrier:
 		f.pullFor(time.Duration((0.75+rand.Float64()/2)*float64(retrierInterval)), false)
 	case f.kind == dandeliongap.KindRoutes:
 		f.pullFor(probeInterval, false)
--- a/dgedge/role.go
+++ b/dgedge/role.go
@@ -11,6 +11,14 @@
 // changes from other VMs or only retries the store.
 func (c *control) role() dgwatch.Role { return dgwatch.Role(c.currentRole.Load()) }
 
+// roleFor returns the role of this VM for a kind (dgwatch W8).
+func (c *control) roleFor(kind string) dgwatch.Role {
+	if slices.Contains(rolloutKinds, kind) {
+		return dgwatch.Role(c.rolloutRole.Load())
+	}
+	return c.role()
+}
+
 // updateRole recomputes the role of this VM from the hubs that are present (dgwatch W1).
 // A VM that stands by pulls, unless it knows no hub.
 // A VM that pulls rarely calls the store, so it also learns from the heartbeats of the
@@ -27,6 +35,7 @@
 		present = append(present, dgwatch.Peer{VM: self, StoreFailing: len(c.failingKinds) > 0})
 		role = dgwatch.RoleOf(self, present)
 	}
+	c.rolloutRole.Store(int32(dgwatch.RoleAmong(self, present, func(vm dandeliongap.VMName) bool { return c.members[vm].Rollouts })))
 	if old := c.role(); old != role {
 		c.currentRole.Store(int32(role))
 		c.e.log.event("role changed").Str("Rule", "W1").Stringer("From", old).Stringer("To", role).Int("Present", len(present)).Bool("StoreFailing", len(c.failingKinds) > 0).Send()
--- a/dgwatch/dgwatch.go
+++ b/dgwatch/dgwatch.go
@@ -26,6 +26,9 @@
 //	W7  VMs of earlier versions know no eras and would take versions with an era for later
 //	    revisions for ever. They get bare revisions. A VM that knows an era takes no state
 //	    from them and does not count them as readers under W1 and W2.
+//	W8  Of a kind that only some VMs follow, these alone count under W1 and W2. Otherwise,
+//	    while a tier changes to VMs that follow it, six that do not could be the readers,
+//	    and nobody would read the kind.
 package dgwatch
 
 import (
@@ -94,6 +97,17 @@
 	return Reader
 }
 
+// RoleAmong returns the role of the VM self for a kind that only the VMs for which follows
+// returns true, self among them, follow (W8). present contains all hubs that are present,
+// including self if it is one. A VM that is no hub reads the store if no hub follows the kind.
+func RoleAmong(self dandeliongap.VMName, present []Peer, follows func(dandeliongap.VMName) bool) Role {
+	among := slices.DeleteFunc(slices.Clone(present), func(p Peer) bool { return p.VM != self && !follows(p.VM) })
+	if len(among) > 0 && !slices.ContainsFunc(among, func(p Peer) bool { return p.VM == self }) {
+		return Puller
+	}
+	return RoleOf(self, among)
+}
+
 // StoreFailing reports whether the calls to the store fail for all of the first
 // ReaderCount VMs (W2).
 func StoreFailing(present []Peer) bool {
--- a/dgwatch/dgwatch_test.go
+++ b/dgwatch/dgwatch_test.go
@@ -190,3 +190,35 @@
 	_, ok = m.Since("k", 0)
 	Expect(ok).To(BeFalse(), "changes alone are not the whole state")
 })
+
+var _ = Describe("a kind that only some VMs follow", func() {
+	follows := func(first int) func(dandeliongap.VMName) bool {
+		return func(vm dandeliongap.VMName) bool {
+			var n int
+			_, _ = fmt.Sscanf(string(vm), "vm-%d", &n)
+			return n >= first
+		}
+	}
+	It("W8 is read by those that follow it, whatever the others are (guards against a tier that changes its version and learns of no rollout)", func() {
+		for first := range 10 {
+			present := tier(12)
+			readers := 0
+			for i := first; i < 12; i++ {
+				if dgwatch.RoleAmong(present[i].VM, present, follows(first)) == dgwatch.Reader {
+					readers++
+				}
+			}
+			Expect(readers).To(Equal(min(dgwatch.ReaderCount, 12-first)))
+		}
+	})
+	It("W8 is read by a VM that stands by only if no hub follows it", func() {
+		Expect(dgwatch.RoleAmong("standby", tier(12), follows(11))).To(Equal(dgwatch.Puller))
+		Expect(dgwatch.RoleAmong("standby", tier(12), follows(12))).To(Equal(dgwatch.Reader))
+	})
+	It("W8 has the same roles as other kinds if all follow it", func() {
+		present := tier(12)
+		for _, p := range present {
+			Expect(dgwatch.RoleAmong(p.VM, present, follows(0))).To(Equal(dgwatch.RoleOf(p.VM, present)))
+		}
+	})
+})
