--- a/dgaccount/dgaccount.go
+++ b/dgaccount/dgaccount.go
@@ -16,7 +16,8 @@
 //	K5  The priority of an account, if it has one, takes precedence over that of the
 //	    route.
 //	K6  A request needs a known key unless its route is public. A public route uses a
-//	    known key and ignores any other.
+//	    known key, for the name of the account alone: the request takes no token of its
+//	    quota (dgquota). Any other key is ignored.
 //	K7  VMs keep and pass on the hashes of keys in place of the keys, because the port at
 //	    which they do so is open to callers. A hash is never accepted as a key.
 package dgaccount
--- a/dgquota/dgquota.go
+++ b/dgquota/dgquota.go
@@ -27,8 +27,8 @@
 //	    allowances of all VMs are whole requests in a window, and add up to at most the
 //	    rest of the margin. They are divided among the VMs of the nominal roster, which
 //	    follows from the registrations alone, in an order that depends on the account.
-//	Q8  A VM whose allowance grows uses the smaller one for one window, and a process that
-//	    replaces another one has none in its first window. When the whole tier starts, VMs
+//	Q8  A VM whose allowance grows uses the smaller one for one window and arrivalDelay, and
+//	    a process that replaces another one has none for that time. When the whole tier starts, VMs
 //	    learn of each other within settleTime. A VM has no allowance in this time, and
 //	    rosters known in it do not count afterwards.
 //	Q9  An owner whose bucket has had no time to fill since Q4 says so, and the allowance
@@ -36,8 +36,8 @@
 //	Q10 After an answer without tokens, a VM refuses further requests itself until the
 //	    next token is due, at most maxDenial, without asking again.
 //	Q11 A request waits for an answer for at most maxPatience and a quarter of the latency
-//	    objective of its route. After a wait without an answer, the VM does not ask that
-//	    owner for askAgainAfter.
+//	    objective of its route. After a wait of at least minWait without an answer, the VM
+//	    does not ask that owner for askAgainAfter.
 //	Q12 A request that did not run returns its token: to the lease if it has not expired,
 //	    else to the owner, like what is left of a lease that expires.
 //	Q13 An owner that gives an account up to another VM passes the tokens of its bucket on
@@ -45,8 +45,9 @@
 //	Q14 A VM sends nothing for accounts without demand.
 //	Q15 A quota counts requests in a window: rate x window + burst. A bucket that fills at
 //	    the rate holds an account that never pauses to rate x window, and refuses requests
-//	    that its quota allows. It therefore fills faster, by up to a burst in each window,
-//	    as far as half of the margin that is left by Q3 and Q4 covers it.
+//	    that its quota allows. It therefore fills faster: by up to a burst in each window,
+//	    at most fillExcess of the rate, as far as half of the margin that Q3 and Q4 leave
+//	    covers it.
 package dgquota
 
 import (
