Limit what a datagram of another VM may contain

The UDP port of gossip takes datagrams from whoever can send them. 1 KB of compressed JSON may unpack to 1 MB of empty objects, which take tens of MB once decoded, and 64 such contents could wait for the control goroutine. Names of VMs had no limit and were kept for ten minutes, and versions of unknown kinds for good.

A datagram with more than 16,384 objects and arrays is not decoded (4,000 heartbeats have at most 8,000), the content that waits is limited to 2 MB, names to 255 bytes, and versions of unknown kinds are left out. No VM of a tier of some thousand reaches these.

--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -50,6 +50,7 @@
 	e               *Edge
 	batches         chan batch
 	heartbeats      chan gossip
+	queuedBytes     atomic.Int64  // size of what is in heartbeats
 	publishRequests chan struct{} // see requestPublish
 	ctx             context.Context
 	cancel          context.CancelFunc
@@ -175,6 +176,7 @@
 		case b := <-c.batches:
 			c.apply(b)
 		case heartbeats := <-c.heartbeats:
+			c.queuedBytes.Add(-heartbeats.size)
 			c.applyHeartbeats(heartbeats)
 		case <-c.publishRequests:
 			c.updateRoster(c.e.now())
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -95,6 +95,30 @@
 	return len(heartbeats), err
 }
 
+// UnpackReceived returns the heartbeats of a datagram in the long form that a VM uses.
+func UnpackReceived(datagram []byte) ([]dgpresence.Heartbeat, error) {
+	var u unpacker
+	heartbeats, err := u.unpack(datagram)
+	return withoutOdd(heartbeats, kinds), err
+}
+
+// Gossip queues datagrams with size bytes of content in a control goroutine that does not run,
+// and returns how many of n there was room for.
+func Gossip(n int, size int64) (queued int) {
+	c := &control{heartbeats: make(chan gossip, heartbeatQueueSize)}
+	for range n {
+		if c.queue(gossip{size: size}) {
+			queued++
+		}
+	}
+	return queued
+}
+
+// ErrManyValues and MaxQueuedBytes export limits of datagrams for tests.
+var ErrManyValues = errManyValues
+
+const MaxQueuedBytes = maxQueuedBytes
+
 // Pack returns the datagram for heartbeats in their long form.
 func Pack(heartbeats []dgpresence.Heartbeat) []byte {
 	var p packer
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -34,8 +35,18 @@
 	// maxUnpackedBytes limits the decompressed content of a datagram. It is enough for
 	// the heartbeats of a few thousand VMs.
 	maxUnpackedBytes = 1 << 20
+	// maxUnpackedValues limits the objects and arrays in it, as an empty one takes tens of
+	// times its text once decoded. A heartbeat has two at most.
+	maxUnpackedValues = 16 << 10
+	// maxQueuedBytes limits the content of the datagrams that wait for the control goroutine.
+	maxQueuedBytes = 2 << 20
+	// maxNameBytes limits the name of a VM in a heartbeat.
+	maxNameBytes = 255
 )
 
+// errManyValues means that a datagram has more objects and arrays than a VM sends.
+var errManyValues = errors.New("too many values in a datagram")
+
 // longForm is the content of a datagram with heartbeats in their long form: compressed
 // JSON, which VMs of all versions read.
 type longForm struct {
@@ -75,7 +86,10 @@
 
 // unpacker decompresses and decodes heartbeats in their long form. Its zero value is ready
 // for use.
-type unpacker struct{ r io.ReadCloser }
+type unpacker struct {
+	r    io.ReadCloser
+	text bytes.Buffer // content of the last datagram
+}
 
 func (u *unpacker) unpack(datagram []byte) ([]dgpresence.Heartbeat, error) {
 	l, err := u.unpackLong(datagram)
@@ -89,10 +103,28 @@
 	} else if err := u.r.(flate.Resetter).Reset(src, nil); err != nil {
 		return l, err
 	}
-	err = json.NewDecoder(io.LimitReader(u.r, maxUnpackedBytes)).Decode(&l)
+	u.text.Reset()
+	if _, err := u.text.ReadFrom(io.LimitReader(u.r, maxUnpackedBytes)); err != nil {
+		return l, err
+	}
+	text := u.text.Bytes()
+	if bytes.Count(text, []byte{'{'})+bytes.Count(text, []byte{'['}) > maxUnpackedValues {
+		return l, errManyValues
+	}
+	err = json.NewDecoder(bytes.NewReader(text)).Decode(&l)
 	return l, err
 }
 
+// withoutOdd returns the heartbeats without those whose name no VM has, and with the versions
+// of the given kinds only.
+func withoutOdd(heartbeats []dgpresence.Heartbeat, kinds []string) []dgpresence.Heartbeat {
+	out := slices.DeleteFunc(heartbeats, func(h dgpresence.Heartbeat) bool { return len(h.VM) > maxNameBytes })
+	for _, h := range out {
+		maps.DeleteFunc(h.Seen, func(kind string, _ dandeliongap.Version) bool { return !slices.Contains(kinds, kind) })
+	}
+	return slices.Clip(out)
+}
+
 // receiveHeartbeats passes the heartbeats of other VMs to the control goroutine
 // until the socket is closed.
 func (c *control) receiveHeartbeats() {
@@ -118,10 +150,12 @@
 		if isShort(buf[:n]) {
 			g.extended = isExtended(buf[:n])
 			g.short, err = decodeShort(buf[:n])
+			g.size = int64(n)
 		} else {
 			var l longForm
 			l, err = u.unpackLong(buf[:n])
-			g.long, g.reports = l.Beats, l.Rollouts
+			g.long, g.reports = withoutOdd(l.Beats, extendedKinds), l.Rollouts
+			g.size = int64(u.text.Len())
 		}
 		if err != nil {
 			c.e.stats.add("GossipUnreadable")
@@ -131,12 +165,24 @@
 		sender := g.from.String()
 		c.lastSender.Store(&sender)
 		c.e.stats.addN("GossipBytesReceived", int64(n))
+		if !c.queue(g) {
+			c.e.stats.add("GossipDropped")
+		}
+	}
+}
+
+// queue passes the content of a datagram to the control goroutine. It reports whether there is
+// room for it; later heartbeats make up for what is dropped.
+func (c *control) queue(g gossip) bool {
+	if queued := c.queuedBytes.Add(g.size); queued <= maxQueuedBytes || queued == g.size {
 		select {
 		case c.heartbeats <- g:
+			return true
 		default:
-			c.e.stats.add("GossipDropped")
 		}
 	}
+	c.queuedBytes.Add(-g.size)
+	return false
 }
 
 // gossip is the content of a datagram, in one of the two forms, and its sender.
@@ -146,6 +192,7 @@
 	long     []dgpresence.Heartbeat
 	reports  []rolloutReport
 	from     netip.AddrPort
+	size     int64 // of the content in bytes
 }
 
 // sendHeartbeats sends the heartbeats of a hub to the hubs that dgpresence selects. A VM
