Hold a bounded number of VMs that are not registered (dgpresence V8)

Each name in a heartbeat became a peer that was kept for ten minutes, and each new start of it a process that was kept until the registrations changed.

A View holds at most 1,024 VMs that are not registered, and one process of each; a registered VM always has a place. A tier has fewer VMs than that, of which a new VM may hear before it reads the registrations. Two specs of V8 guard the places and the processes.

--- a/dgpresence/brief.go
+++ b/dgpresence/brief.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 
@@ -124,12 +125,17 @@
 // SetRegistered sets the registered processes, by VM, so that their identifiers are known
 // (V6).
 func (v *View) SetRegistered(boots map[dandeliongap.VMName]int64) {
+	v.registered = maps.Clone(boots)
+	v.unregistered = 0
 	v.processes = map[ProcessID]process{v.id: {v.self.VM, v.self.Boot}}
 	for vm, boot := range boots {
 		v.processes[ProcessIDOf(vm, boot)] = process{vm, boot}
 	}
 	for vm, p := range v.peers {
 		v.processes[p.id] = process{vm, p.heartbeat.Boot}
+		if !v.isRegistered(vm) {
+			v.unregistered++
+		}
 	}
 }
 
--- a/dgpresence/dgpresence.go
+++ b/dgpresence/dgpresence.go
@@ -30,6 +30,8 @@
 //	    one that any VM has reported is right after a restore, which makes revisions go
 //	    back. VMs of earlier versions, which do not say in their registration that they
 //	    know eras, get bare revisions. Theirs count as older than any version with an era.
+//	V8  Datagrams carry no proof of their sender. Of VMs that are not registered, a View
+//	    holds at most MaxUnregistered; heartbeats of further ones are ignored.
 package dgpresence
 
 import (
@@ -64,6 +66,10 @@
 	removeAfter = 10 * time.Minute
 )
 
+// MaxUnregistered is the number of VMs without a registration that a View holds (V8). It is more
+// than the VMs of a tier, as a VM may hear from all of them before it reads the registrations.
+const MaxUnregistered = 1024
+
 // HeartbeatInterval is the interval of the regular heartbeats of a hub.
 const HeartbeatInterval = 250 * time.Millisecond
 
@@ -126,7 +132,11 @@
 	tierSize  int                             // number of hubs, this VM included
 	newest    map[string]dandeliongap.Version // newest change that any VM has reported, by kind of control state
 	processes map[ProcessID]process           // of registered VMs and of peers
-	requested map[ProcessID]bool              // unknown processes that the VM has asked about since the last tick
+	// registered has the process of each registered VM, and unregistered is the number of
+	// peers that are not in it.
+	registered   map[dandeliongap.VMName]int64
+	unregistered int
+	requested    map[ProcessID]bool // unknown processes that the VM has asked about since the last tick
 }
 
 // New returns the empty view of a VM. boot is the value for Heartbeat.Boot.
@@ -167,7 +177,7 @@
 		case age <= countedFor && !p.heartbeat.Standby:
 			v.tierSize++
 		case age > removeAfter:
-			delete(v.peers, vm)
+			v.remove(vm, p)
 		}
 	}
 	v.self.Count++
@@ -215,16 +225,23 @@
 		if h.VM == v.self.VM || h.VM == "" {
 			continue
 		}
-		v.recordSeen(h)
 		p := v.peers[h.VM]
 		if p == nil {
+			if !v.isRegistered(h.VM) {
+				if v.unregistered >= MaxUnregistered {
+					continue
+				}
+				v.unregistered++
+			}
 			p = &peer{}
 			v.peers[h.VM] = p
 		}
+		v.recordSeen(h)
 		if h.Boot < p.heartbeat.Boot || h.Boot == p.heartbeat.Boot && h.Count <= p.heartbeat.Count {
 			continue
 		}
 		if h.Boot != p.heartbeat.Boot || p.id == (ProcessID{}) {
+			v.forgetProcess(p)
 			p.id = ProcessIDOf(h.VM, h.Boot)
 			v.processes[p.id] = process{h.VM, h.Boot}
 		} else if h.Seen == nil {
@@ -234,6 +251,27 @@
 	}
 }
 
+func (v *View) isRegistered(vm dandeliongap.VMName) bool {
+	_, ok := v.registered[vm]
+	return ok
+}
+
+// remove removes a peer.
+func (v *View) remove(vm dandeliongap.VMName, p *peer) {
+	v.forgetProcess(p)
+	delete(v.peers, vm)
+	if !v.isRegistered(vm) {
+		v.unregistered--
+	}
+}
+
+// forgetProcess removes the process of a peer, unless it is registered.
+func (v *View) forgetProcess(p *peer) {
+	if boot, ok := v.registered[p.heartbeat.VM]; !ok || boot != p.heartbeat.Boot {
+		delete(v.processes, p.id)
+	}
+}
+
 // lostAfter returns the age of the newest heartbeat above which a VM counts as lost
 // (V1).
 func (v *View) lostAfter(p *peer) time.Duration {
--- a/dgpresence/dgpresence_test.go
+++ b/dgpresence/dgpresence_test.go
@@ -69,6 +69,39 @@
 		_, found := v.Age(at(time.Hour), "b")
 		Expect(found).To(BeFalse())
 	})
+	It("V8: holds a bounded number of VMs that are not registered, and all that are (guards against forged heartbeats that take the memory, or keep out VMs)", func() {
+		name := func(i int) dandeliongap.VMName { return dandeliongap.VMName(fmt.Sprint("forged-", i)) }
+		known := func() (n int) {
+			for i := range 2 * dgpresence.MaxUnregistered {
+				if ok, _ := v.Present(at(0), name(i)); ok {
+					n++
+				}
+			}
+			return n
+		}
+		for i := range 2 * dgpresence.MaxUnregistered {
+			v.Merge(at(0), []dgpresence.Heartbeat{{VM: name(i), Boot: 1, Count: 1}})
+		}
+		Expect(known()).To(Equal(dgpresence.MaxUnregistered))
+		v.Merge(at(0), heartbeat(1, 1))
+		Expect(alive(0)).To(BeFalse())
+		v.SetRegistered(map[dandeliongap.VMName]int64{"b": 1})
+		v.Merge(at(0), heartbeat(1, 2))
+		Expect(alive(0)).To(BeTrue())
+		for t := time.Duration(0); t <= 11*time.Minute; t += dgpresence.HeartbeatInterval {
+			v.Tick(at(t), dgpresence.LocalStatus{})
+		}
+		v.Merge(at(0), []dgpresence.Heartbeat{{VM: name(0), Boot: 2, Count: 1}})
+		Expect(known()).To(Equal(1), "places of VMs that were lost long ago are free again")
+	})
+	It("V8: knows one process of a VM that is not registered (guards against forged heartbeats of more and more processes)", func() {
+		v.Merge(at(0), heartbeat(1, 1))
+		v.Merge(at(0), heartbeat(2, 1))
+		_, first := v.VMOf(dgpresence.ProcessIDOf("b", 1))
+		_, second := v.VMOf(dgpresence.ProcessIDOf("b", 2))
+		Expect([]bool{first, second}).To(Equal([]bool{false, true}))
+	})
+
 	It("ignores its own heartbeats when others pass them on, and those without a name", func() {
 		v.Merge(at(0), []dgpresence.Heartbeat{{VM: "a", Boot: 9, Count: 9}, {}})
 		Expect(v.Tick(at(0), dgpresence.LocalStatus{Serving: true})).To(HaveLen(1))
