Count the answers with control state that are being delivered (dgmemory M8)

The listener for changes between VMs answered each request with an encoding of its own, and the kernel kept megabytes of it for a caller that read nothing. 400 callers that asked for a configuration of 4,000 routes, of which the 121 connections to the listener are open, took 137 MB and 206 MB in the kernel on a VM of 184 MiB. docs/design/untrusted-callers.md listed it as open.

Answers are encoded one at a time, in both forms, and equal ones share a body. Bodies above 16 KB count until they are written, a sixteenth of the memory together; if there is not enough left, the delivery that began first ends, as a VM receives one within milliseconds. The other listeners get the small kernel buffers of that for callers.

--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -69,7 +69,7 @@
 	latestSettings atomic.Pointer[Settings] // see Reload for those that take effect without a restart
 	view           atomic.Pointer[view]
 	mirror         dgwatch.Mirror // copy of the control state that other VMs pull
-	packed         packedCache    // of mirror
+	answers        *answers       // of mirror
 	sharesHashes   atomic.Bool    // mirror has had a configuration with hashes of keys (dgaccount K7)
 	control        *control
 	stopping       atomic.Pointer[plannedStop] // set once Drain has been called
@@ -115,6 +115,7 @@
 	if o.Settings.RolloutShare > 0 {
 		e.rollouts = dgrollout.NewLocal(dgrollout.Limits{Share: o.Settings.RolloutShare, Slack: o.Settings.RolloutSlack, Rollback: o.Settings.RollbackLimit})
 	}
+	e.answers = newAnswers(e.plan.AnswerBytes, func() { e.stats.add("Ended.M8") })
 	e.quotas = newQuotas(e)
 	e.view.Store(&view{})
 	e.latestSettings.Store(&o.Settings)
@@ -140,7 +141,7 @@
 // listen opens all listeners and starts serving on them. maxCallers limits the open
 // connections of callers; 0 means no limit.
 func (e *Edge) listen(maxCallers int64) error {
-	l, err := listenEntry(e.opt.Settings.EntryListen)
+	l, err := listenSmall(e.opt.Settings.EntryListen)
 	if err != nil {
 		return err
 	}
@@ -173,7 +174,7 @@
 		if addr == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", addr)
+		l, err := listenSmall(addr)
 		if err != nil {
 			return err
 		}
--- a/dgedge/memory.go
+++ b/dgedge/memory.go
@@ -21,10 +21,10 @@
 )
 
 const (
-	// entryBufferBytes is the receive and the send buffer of a connection of a caller, each
-	// of which the kernel may double. Without it the kernel holds megabytes for a caller that
+	// connBufferBytes is the receive and the send buffer of a connection to a listener, each
+	// of which the kernel may double. Without it the kernel holds megabytes for a peer that
 	// reads nothing.
-	entryBufferBytes = 32 << 10
+	connBufferBytes = 32 << 10
 	// defaultBodyBytes limits the body of a request before there is a configuration.
 	defaultBodyBytes = 256 << 10
 	// firstBodyBytes is the first size of the buffer for a body whose length is not announced,
@@ -78,13 +78,12 @@
 	}
 }
 
-// listenEntry listens for callers with small buffers of the kernel, which the connections
-// inherit.
-func listenEntry(addr string) (net.Listener, error) {
+// listenSmall listens with small buffers of the kernel, which the connections inherit.
+func listenSmall(addr string) (net.Listener, error) {
 	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			for _, opt := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
-				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, opt, entryBufferBytes) // the default is only larger
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, opt, connBufferBytes) // the default is only larger
 			}
 		})
 	}}
--- a/dgedge/pull.go
+++ b/dgedge/pull.go
@@ -29,6 +29,9 @@
 	maxChangesBytes = 16 << 20
 )
 
+// errNoState means that this VM does not have the state that another VM asks for.
+var errNoState = errors.New("no such state")
+
 // handleChanges serves changes of the control state to another VM.
 func (e *Edge) handleChanges(ctx *fasthttp.RequestCtx) {
 	kind := string(ctx.QueryArgs().Peek("Kind"))
@@ -38,38 +41,43 @@
 		ctx.Error("want "+changesPath+"?Kind=KIND&Since=VERSION", http.StatusBadRequest)
 		return
 	}
+	packed := ctx.QueryArgs().GetBool("Packed")
+	out, err := e.answers.encode(kind, dandeliongap.Version(since), packed, func() (dgwatch.State, error) { return e.stateSince(ctx.QueryArgs(), kind, since, eras) })
+	if errors.Is(err, errNoState) {
+		ctx.Error(err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if err != nil {
+		ctx.Error(err.Error(), http.StatusInternalServerError)
+		return
+	}
+	e.stats.add("PullsServed")
+	ctx.SetContentType("application/json") // for VMs of earlier versions
+	if packed {
+		ctx.SetContentType(packedType)
+	}
+	e.answers.deliver(ctx, out)
+}
+
+// stateSince returns the state that another VM asks for. Its error wraps errNoState if this
+// VM does not have it.
+func (e *Edge) stateSince(query *fasthttp.Args, kind string, since uint64, eras bool) (dgwatch.State, error) {
 	s, ok := e.mirror.Since(kind, dandeliongap.Version(since))
 	if !eras { // a VM of an earlier version (dgwatch W7)
 		s, ok = e.mirror.SinceRevision(kind, since)
 	}
 	if !ok || !e.view.Load().ready { // state that is not confirmed may be outdated (F4)
-		ctx.Error("not all control state is confirmed yet", http.StatusServiceUnavailable)
-		return
+		return s, fmt.Errorf("not all control state is confirmed yet: %w", errNoState)
 	}
-	if kind == dandeliongap.KindRoutes && len(s.Objects) > 0 && e.sharesHashes.Load() && !ctx.QueryArgs().GetBool("Hashes") {
+	if kind == dandeliongap.KindRoutes && len(s.Objects) > 0 && e.sharesHashes.Load() && !query.GetBool("Hashes") {
 		// A VM of an earlier version would find accounts without keys and refuse all callers.
 		// It reads the store instead.
-		ctx.Error("this configuration has hashes of keys", http.StatusServiceUnavailable)
-		return
+		return s, fmt.Errorf("this configuration has hashes of keys: %w", errNoState)
 	}
-	if above, err := ctx.QueryArgs().GetUint("AboveNumber"); err == nil && e.view.Load().table.Config.Number <= uint64(above) {
+	if above, err := query.GetUint("AboveNumber"); err == nil && e.view.Load().table.Config.Number <= uint64(above) {
 		s.Full, s.Objects = false, nil // the other VM has this configuration (dgrestore E4)
 	}
-	contentType := "application/json" // for VMs of earlier versions
-	var body []byte
-	if ctx.QueryArgs().GetBool("Packed") {
-		contentType = packedType
-		body, err = e.packed.pack(kind, dandeliongap.Version(since), s)
-	} else {
-		body, err = json.Marshal(s)
-	}
-	if err != nil {
-		ctx.Error(err.Error(), http.StatusInternalServerError)
-		return
-	}
-	e.stats.add("PullsServed")
-	ctx.SetContentType(contentType)
-	ctx.Response.SetBodyRaw(body) // shared by all that ask for the same changes
+	return s, nil
 }
 
 // pull fetches the changes since f.since from the VM at addr. The log names rule, the
--- a/dgmemory/dgmemory.go
+++ b/dgmemory/dgmemory.go
@@ -40,6 +40,7 @@
 const (
 	accountShare  = 1.0 / 3
 	responseShare = 1.0 / 6
+	answerShare   = 1.0 / 16
 	runtimeShare  = 0.65
 	// reserveShare is the share of the account that requests that hold much may not take (M3).
 	reserveShare = 0.25
@@ -89,6 +90,7 @@
 type Plan struct {
 	AccountBytes  int64 // what connections of callers hold
 	ResponseBytes int64 // bodies of responses of backend servers
+	AnswerBytes   int64 // answers with control state
 	RuntimeBytes  int64 // all memory of the Go runtime
 	OtherConns    int   // open connections of each listener other than that for callers
 }
@@ -98,6 +100,7 @@
 	p := Plan{
 		AccountBytes:  int64(accountShare * float64(l.MemoryBytes)),
 		ResponseBytes: int64(responseShare * float64(l.MemoryBytes)),
+		AnswerBytes:   int64(answerShare * float64(l.MemoryBytes)),
 		RuntimeBytes:  int64(runtimeShare * float64(l.MemoryBytes)),
 		OtherConns:    defaultOther,
 	}
