Give each sub-request a place in the account of the VM (dgmemory M9, M10)

A search sends a sub-request to each of its shards. Neither the connections to backend servers, nor the goroutines and buffers of sub-requests were in any account, so that 400 callers that searched 90 shards made a VM of 3,900 sockets open 4,461 and one of 824 up to 4,461; with 650 shards it was 8,273. Where the kernel refuses further descriptors, ordinary callers, the store and other VMs get none either.

A request takes a place for each shard before it runs, and for each further attempt at the same time, until the attempt has ended. Places and connections of callers share the descriptors that the other listeners and the VM's own calls leave, and the account of memory. Idle connections to backend servers close first, then callers that do nothing, as for a new connection; if that does not suffice, the request gets 503 NoPlace at once, which is true: nothing was sent. A request that is alone gets what it needs, and a further attempt waits as it does for the budget.

The mixed crowds are not steady yet.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandeliongap.example/dandeliongap"
@@ -162,8 +164,10 @@
 // Forwarder sends complete requests to backend servers over persistent connections.
 // It is safe for concurrent use.
 type Forwarder struct {
-	names  HeaderNames
-	memory memoryPool // of response bodies
+	names      HeaderNames
+	memory     memoryPool // of response bodies
+	open       atomic.Int64
+	beforeDial func() // nil: not called
 
 	mu     sync.Mutex
 	idle   map[dandeliongap.InstanceID]*idleConns
@@ -186,6 +190,49 @@
 	}
 }
 
+// BeforeDial sets a function that is called before a connection is opened, which Open then
+// counts already. It must be set before the first request.
+func (f *Forwarder) BeforeDial(fn func()) { f.beforeDial = fn }
+
+// Open returns the number of open connections.
+func (f *Forwarder) Open() int64 { return f.open.Load() }
+
+// CloseIdle closes n idle connections, or all if there are fewer, those that have been idle for
+// longest first.
+func (f *Forwarder) CloseIdle(n int64) {
+	if n <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var since []time.Time
+	for _, list := range f.idle {
+		for _, ic := range list.conns {
+			since = append(since, ic.since)
+		}
+	}
+	if len(since) == 0 {
+		return
+	}
+	slices.SortFunc(since, time.Time.Compare)
+	newest := since[min(n, int64(len(since)))-1]
+	for _, list := range f.idle {
+		// The connections of a list are in the order in which they became idle.
+		i := 0
+		for i < len(list.conns) && !list.conns[i].since.After(newest) {
+			f.closeConn(list.conns[i].cn.tcp)
+			i++
+		}
+		list.conns = slices.Delete(list.conns, 0, i)
+	}
+}
+
+// closeConn closes an open connection.
+func (f *Forwarder) closeConn(tcp *net.TCPConn) {
+	f.open.Add(-1)
+	_ = tcp.Close() // fails only if it is closed already
+}
+
 // ForwardStats holds counters of a Forwarder since its creation. Dials counts attempts
 // to open a connection, Stale idle connections that were closed or too old when they
 // were needed, and Broken responses that were missing, incomplete, malformed or for
@@ -208,7 +255,7 @@
 			continue
 		}
 		for _, ic := range list.conns {
-			_ = ic.cn.tcp.Close()
+			f.closeConn(ic.cn.tcp)
 		}
 		delete(f.idle, id)
 	}
@@ -239,7 +286,7 @@
 	reuse := f.exchange(cn, in, req, &reply, deadline)
 	cancelled := call.detach()
 	if reply.Err != nil || !reuse || cancelled {
-		_ = cn.tcp.Close()
+		f.closeConn(cn.tcp)
 	} else {
 		f.addIdle(in.ID, cn, reply.Resp)
 	}
@@ -262,20 +309,25 @@
 			ic.cn.tcp.SetDeadline(deadline) == nil && ic.cn.alive() {
 			return ic.cn, nil
 		}
-		_ = ic.cn.tcp.Close()
+		f.closeConn(ic.cn.tcp)
 		f.count(&f.stale)
 	}
 	f.count(&f.dials)
+	f.open.Add(1)
+	if f.beforeDial != nil {
+		f.beforeDial()
+	}
 	d := net.Dialer{Timeout: min(connectTimeout, time.Until(deadline)), KeepAlive: -1}
 	nc, err := d.Dial("tcp", in.Address)
 	if err != nil {
+		f.open.Add(-1)
 		return nil, err
 	}
 	tcp := nc.(*net.TCPConn)
 	dghttp.EnableDeadPeerDetection(tcp)
 	cn, err := newConn(tcp)
 	if err != nil {
-		_ = tcp.Close()
+		f.closeConn(tcp)
 	}
 	return cn, err
 }
@@ -315,7 +367,7 @@
 		f.idle[id] = list
 	}
 	if f.closed || timeout <= 0 {
-		_ = cn.tcp.Close()
+		f.closeConn(cn.tcp)
 		return
 	}
 	list.conns = append(list.conns, idleConn{cn: cn, since: now, until: now.Add(timeout)})
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -93,6 +93,27 @@
 		Expect(a + b).To(Equal("ab"))
 		Expect(accepted.Load()).To(BeEquivalentTo(1))
 	})
+	It("closes the connections that have been idle for longest and counts those that are open (guards against idle connections that take the descriptors of the VM)", func() {
+		f, first, _ := scriptedServer(okResponse("1", "a"), okResponse("4", "d"))
+		second := *first
+		second.ID = "i-2"
+		sendForward(f, first, "1")
+		f.CloseIdle(0)
+		Expect(f.Open()).To(BeEquivalentTo(1))
+		dials := 0
+		f.BeforeDial(func() {
+			dials++
+			Expect(f.Open()).To(BeEquivalentTo(2), "counts the new one")
+			f.CloseIdle(1)
+		})
+		sendForward(f, &second, "4")
+		Expect([]int64{int64(dials), f.Open()}).To(Equal([]int64{1, 1}))
+		f.CloseIdle(5)
+		Expect(f.Open()).To(BeZero())
+		f.BeforeDial(nil)
+		sendForward(f, &dandeliongap.Instance{ID: "i-3", Address: "127.0.0.1:1"}, "5")
+		Expect(f.Open()).To(BeZero(), "after a failure to connect")
+	})
 	It("reads a response whose head is longer than usual, and does not reuse the connection (guards against a request with a long ID that looks like a failure of the replica)", func() {
 		id := strings.Repeat("i", 15000)
 		f, in, accepted := scriptedServer(strings.Replace(okResponse(id, "a"), "Stamp: s", "Stamp: s."+id, 1), okResponse("2", "b"))
--- a/dgedge/edge.go
+++ b/dgedge/edge.go
@@ -121,6 +121,7 @@
 	e.latestSettings.Store(&o.Settings)
 	e.stats.init()
 	e.forward.LimitMemory(e.plan.ResponseBytes)
+	e.forward.BeforeDial(func() { e.trimIdle(int64(e.callers.len())) })
 	limitRuntime(e.plan)
 	maxCallers := dgadmit.MaxCallerConnections(uint64(limits.Sockets))
 	if err := e.listen(maxCallers); err != nil {
@@ -147,7 +148,8 @@
 	}
 	e.callers = &callerListener{
 		Listener: e.retryAccept(l), limits: e.limits, maxOpen: maxCallers,
-		account: dgmemory.NewAccount(e.plan.AccountBytes), start: e.start,
+		account: dgmemory.NewAccount(e.plan.AccountBytes), sockets: e.plan.Sockets, start: e.start,
+		accepted: e.trimIdle,
 		rejected: func() { e.stats.add("Refused.Connection") },
 		ended:    e.connectionEnded(),
 		events:   connEvents{responded: e.active.remove, writeFailed: e.responseLost},
--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -62,6 +62,30 @@
 	l.limits = func() dandeliongap.CallerLimits { return dandeliongap.CallerLimits{HeaderTimeout: timeout} }
 }
 
+// LimitSockets sets the number of descriptors for callers and places.
+func (l *CallerListener) LimitSockets(n int64) {
+	l.LimitMemory(0)
+	l.sockets = dgmemory.NewSockets(n)
+}
+
+// Reserve takes the places of a request with n shards, and reports whether there was room.
+func (l *CallerListener) Reserve(n int) (*Reservation, bool) {
+	e := &Edge{callers: &l.callerListener}
+	r, refusal := e.reserve(n)
+	return &Reservation{r}, refusal.Status == 0
+}
+
+// Places returns the number of places that are taken.
+func (l *CallerListener) Places() int64 { return l.places }
+
+// Reservation holds the places of a request.
+type Reservation struct{ r *reservation }
+
+// Start, End and Finish export methods for tests.
+func (r *Reservation) Start(force bool) bool { return r.r.start(force) }
+func (r *Reservation) End(keep bool)         { r.r.end(keep) }
+func (r *Reservation) Finish()               { r.r.finish() }
+
 // Used exports the bytes in the memory account.
 func (l *CallerListener) Used() int64 { return l.used() }
 
--- a/dgedge/handle.go
+++ b/dgedge/handle.go
@@ -89,6 +89,12 @@
 	if refusal.Status == 0 {
 		refusal = e.admit(req)
 	}
+	var places *reservation
+	if refusal.Status == 0 {
+		if places, refusal = e.reserve(len(req.shards)); places != nil {
+			defer places.finish()
+		}
+	}
 	if refusal.Status == 0 { // last, so that no refused request takes a token
 		refusal = e.takeToken(req)
 	}
@@ -96,7 +102,7 @@
 		e.refuse(ctx, req, refusal)
 		return
 	}
-	e.execute(ctx, req, active)
+	e.execute(ctx, req, active, places)
 }
 
 // parseRequest matches the request to a route, checks its headers and limits, and
--- a/dgedge/listeners.go
+++ b/dgedge/listeners.go
@@ -21,10 +21,13 @@
 	rejected func()            // called for each connection that is not accepted for lack of room
 	ended    func(rule string) // called for each connection that is ended to make room
 	start    time.Time         // origin of the Instants of connections
+	accepted func(open int64)  // called for each connection that is accepted; nil: not called
 	events   connEvents
 
 	mu      sync.Mutex
 	account dgmemory.Account
+	sockets dgmemory.Sockets
+	places  int64 // of sub-requests (dgmemory M9)
 	open    map[*callerConn]struct{}
 	closing bool // no more connections are accepted
 }
@@ -50,6 +53,9 @@
 			return c, nil
 		}
 		if conn := l.add(tcp); conn != nil {
+			if l.accepted != nil {
+				l.accepted(int64(l.len()))
+			}
 			return conn, nil
 		}
 		_ = tcp.Close()
--- a/dgedge/memory.go
+++ b/dgedge/memory.go
@@ -102,14 +102,8 @@
 // makeRoom ends connections so that one more may be open, and reports whether it may be.
 // l.mu must be held.
 func (l *callerListener) makeRoom(now dandeliongap.Instant) bool {
-	if l.maxOpen > 0 && int64(len(l.open)) >= l.maxOpen {
-		conns, holders := l.holders()
-		for _, i := range dgmemory.Oldest(now, holders, int(l.maxOpen)) {
-			l.end(conns[i], "M7")
-		}
-		if int64(len(l.open)) >= l.maxOpen {
-			return false
-		}
+	if l.makeSockets(now, l.missingForConn()); l.missingForConn() > 0 {
+		return false
 	}
 	if missing := l.account.Missing(dgmemory.ConnBytes, 0); missing > 0 {
 		conns, holders := l.holders()
@@ -121,6 +115,28 @@
 	return true
 }
 
+// missingForConn returns the number of connections to end before one more may be open. l.mu
+// must be held.
+func (l *callerListener) missingForConn() int64 {
+	missing := l.sockets.MissingForConn(int64(len(l.open)), l.places)
+	if l.maxOpen > 0 {
+		missing = max(missing, dgmemory.NewSockets(l.maxOpen).MissingForConn(int64(len(l.open)), 0))
+	}
+	return missing
+}
+
+// makeSockets ends n connections that do nothing (M7), or as many as there are. l.mu must be
+// held.
+func (l *callerListener) makeSockets(now dandeliongap.Instant, n int64) {
+	if n <= 0 {
+		return
+	}
+	conns, holders := l.holders()
+	for _, i := range dgmemory.Oldest(now, holders, n) {
+		l.end(conns[i], "M7")
+	}
+}
+
 // hold makes c hold bytes beyond its fixed cost. It reports whether it may; with force it may
 // always.
 func (l *callerListener) hold(c *callerConn, bytes int64, force bool) bool {
--- a/dgedge/run.go
+++ b/dgedge/run.go
@@ -51,6 +51,7 @@
 	req    *request
 	gather *dggather.Gather
 	inbox  *inbox
+	places *reservation
 
 	attempts     []*attempt
 	firstCounted []bool          // by shard: its first request has been counted in the budget
@@ -69,7 +70,7 @@
 }
 
 // execute sends a request to replicas and writes the response.
-func (e *Edge) execute(ctx *fasthttp.RequestCtx, req *request, active *activeRequest) {
+func (e *Edge) execute(ctx *fasthttp.RequestCtx, req *request, active *activeRequest, places *reservation) {
 	e.mu.Lock()
 	typical := e.balancer.TypicalLatency(req.route.Name, 0)
 	e.mu.Unlock()
@@ -77,6 +78,7 @@
 		e: e, req: req,
 		gather:       dggather.New(dggather.Options{Route: req.route, Shards: req.shards, Arrived: req.arrived, Deadline: req.deadline, TypicalLatency: typical}),
 		inbox:        newInbox(),
+		places:       places,
 		firstCounted: make([]bool, len(req.shards)),
 	}
 	ex.conn, _ = ctx.Conn().(*callerConn)
@@ -144,9 +146,15 @@
 func (ex *execution) send(s dggather.Send) {
 	e, service := ex.e, ex.req.shards[s.Shard]
 	now := e.now()
+	if !ex.places.start(!s.Extra) {
+		e.stats.add("NoPlace")
+		ex.gather.AttemptNotStarted(s.Shard, now.Add(budgetRetryDelay))
+		return
+	}
 	e.mu.Lock()
 	if s.Extra && !e.budget.Reserve(now, service) {
 		e.mu.Unlock()
+		ex.places.end(true)
 		e.stats.add("NoBudget")
 		ex.noBudget++
 		ex.gather.AttemptNotStarted(s.Shard, now.Add(budgetRetryDelay))
@@ -165,6 +173,7 @@
 	}
 	e.mu.Unlock()
 	if err != nil {
+		ex.places.end(true)
 		ex.gather.AttemptNotStarted(s.Shard, retryAt)
 		return
 	}
@@ -192,6 +201,7 @@
 		e.log.event("panic").Str("Request", ex.req.id).Str("Value", r.String()).Send()
 		reply = dgbackend.Reply{Err: r.AsError()}
 	}
+	ex.places.end(reply.Kind != dgbackend.ReplyAnswered)
 	now := e.now()
 	e.mu.Lock()
 	hint := e.balancer.Heed(now, &a.assignment.Instance, dgbalance.Hints{Leaving: reply.Leaving, RetryAfter: reply.RetryAfter})
--- a/dgmemory/dgmemory.go
+++ b/dgmemory/dgmemory.go
@@ -50,6 +50,8 @@
 	minOther   = 8
 	// defaultOther is the same number if the descriptors are not known.
 	defaultOther = 1024
+	// otherListeners is the number of the other listeners.
+	otherListeners = 4
 	// freeShare is the least share of the limit that is made free at a time, so that
 	// looking for connections to end stays rare.
 	freeShare = 1.0 / 64
@@ -93,6 +95,7 @@
 	AnswerBytes   int64 // answers with control state
 	RuntimeBytes  int64 // all memory of the Go runtime
 	OtherConns    int   // open connections of each listener other than that for callers
+	Sockets       Sockets
 }
 
 // NewPlan returns the plan for a VM.
@@ -106,6 +109,8 @@
 	}
 	if l.Sockets > 0 {
 		p.OtherConns = min(defaultOther, max(minOther, int(otherShare*float64(l.Sockets))))
+		own := min(ownSockets, l.Sockets/minShared)
+		p.Sockets = NewSockets(max(l.Sockets/minShared, l.Sockets-otherListeners*int64(p.OtherConns)-own))
 	}
 	return p
 }
@@ -217,11 +222,11 @@
 
 func (h *Holder) held() int64 { return h.Held }
 
-// Oldest returns the connections to end if limit connections are open and one more is to be
-// accepted (M7).
-func Oldest(now dandeliongap.Instant, holders []Holder, limit int) []int {
+// Oldest returns n connections to end so that others may open (M7), or fewer if the others
+// run a request or hold much.
+func Oldest(now dandeliongap.Instant, holders []Holder, n int64) []int {
 	order := longest(now, holders)
-	return order[:min(len(order), max(1, int(freeShare*float64(limit))))]
+	return order[:min(int64(len(order)), n)]
 }
 
 // heaviest returns the connections whose request is being received and holds much, in the
