Report a cancelled attempt of which nothing was sent as not run

Ordinary callers got 503 NoReplica beside a crowd of callers that left at once. A request whose caller leaves cancels its attempts by setting a deadline in the past. An attempt that was about to write then failed with a timeout before the first byte, was reported as not sent, and counted as a failure to connect: the balancer took the healthy replica as down (42 times in 7 s of TestMixedCrowd, each with 'i/o timeout' of a write; a failure to dial was ruled out by that).

A cancelled attempt of which nothing was sent now wraps ErrNotRun, as one that is cancelled before it has a connection, and says nothing about its replica.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -285,6 +285,9 @@
 	reply := Reply{Resp: fasthttp.AcquireResponse(), body: bodyReader{pool: &f.memory}}
 	reuse := f.exchange(cn, in, req, &reply, deadline)
 	cancelled := call.detach()
+	if cancelled && reply.Kind == ReplyNotSent {
+		reply.Err = fmt.Errorf("attempt cancelled: %w: %w", reply.Err, dandeliongap.ErrNotRun)
+	}
 	if reply.Err != nil || !reuse || cancelled {
 		f.closeConn(cn.tcp)
 	} else {
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -114,6 +114,27 @@
 		sendForward(f, &dandeliongap.Instance{ID: "i-3", Address: "127.0.0.1:1"}, "5")
 		Expect(f.Open()).To(BeZero(), "after a failure to connect")
 	})
+	It("says that an attempt cancelled before anything was sent has not run (guards against callers that leave and make a replica look unreachable)", func() {
+		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+			}
+		})
+		f := dgbackend.NewForwarder(forwardNames)
+		defer f.Close()
+		const attempts = 2000
+		for i := range attempts {
+			var call dgbackend.Call
+			time.AfterFunc(time.Duration(i%100)*2*time.Microsecond, call.Cancel)
+			in := dandeliongap.Instance{ID: dandeliongap.InstanceID(fmt.Sprint(i % 50)), Address: r.Address}
+			reply := f.Send(&call, &in, forwardRequest("1"), time.Now().Add(eventTimeout))
+			if reply.Kind == dgbackend.ReplyNotSent {
+				Expect(reply.Err).To(MatchError(dandeliongap.ErrNotRun))
+			}
+		}
+	})
 	It("reads a response whose head is longer than usual, and does not reuse the connection (guards against a request with a long ID that looks like a failure of the replica)", func() {
 		id := strings.Repeat("i", 15000)
 		f, in, accepted := scriptedServer(strings.Replace(okResponse(id, "a"), "Stamp: s", "Stamp: s."+id, 1), okResponse("2", "b"))
