Set the deadline of an attempt before it can be cancelled

An attempt that was cancelled between taking its connection and writing went on: Cancel set a deadline in the past, and the attempt then replaced it by its own. The replica worked on a request whose caller had left, up to its deadline.

The deadline is set before the call knows the connection.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -278,6 +278,11 @@
 	if err != nil {
 		return Reply{Kind: ReplyNotSent, Err: err}
 	}
+	// Set before Cancel knows the connection, as it would replace the deadline of Cancel.
+	if err := cn.tcp.SetDeadline(deadline.Add(deadlineGrace)); err != nil {
+		f.closeConn(cn.tcp)
+		return Reply{Kind: ReplyNotSent, Err: err}
+	}
 	if !call.attach(cn.tcp) {
 		f.addIdle(in.ID, cn, nil)
 		return Reply{Kind: ReplyNotSent, Err: fmt.Errorf("attempt cancelled before the request was sent: %w", dandeliongap.ErrNotRun)}
@@ -401,10 +406,6 @@
 		reply.Kind, reply.Err = ReplyNotSent, fmt.Errorf("deadline passed before the request was sent: %w", dandeliongap.ErrNotRun)
 		return false
 	}
-	if err := cn.tcp.SetDeadline(deadline.Add(deadlineGrace)); err != nil {
-		reply.Kind, reply.Err = ReplyNotSent, err
-		return false
-	}
 	written := make(chan error, 1)
 	before := cn.written
 	f.writeHead(cn, in, req, left)
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -114,7 +114,7 @@
 		sendForward(f, &dandeliongap.Instance{ID: "i-3", Address: "127.0.0.1:1"}, "5")
 		Expect(f.Open()).To(BeZero(), "after a failure to connect")
 	})
-	It("says that an attempt cancelled before anything was sent has not run (guards against callers that leave and make a replica look unreachable)", func() {
+	It("ends an attempt that is cancelled, and says that it has not run if nothing was sent (guards against callers that leave and make a replica look unreachable, and against replicas that work for them)", func() {
 		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
 			for {
 				if _, err := http.ReadRequest(br); err != nil {
@@ -125,14 +125,26 @@
 		f := dgbackend.NewForwarder(forwardNames)
 		defer f.Close()
 		const attempts = 2000
-		for i := range attempts {
-			var call dgbackend.Call
-			time.AfterFunc(time.Duration(i%100)*2*time.Microsecond, call.Cancel)
-			in := dandeliongap.Instance{ID: dandeliongap.InstanceID(fmt.Sprint(i % 50)), Address: r.Address}
-			reply := f.Send(&call, &in, forwardRequest("1"), time.Now().Add(eventTimeout))
-			if reply.Kind == dgbackend.ReplyNotSent {
-				Expect(reply.Err).To(MatchError(dandeliongap.ErrNotRun))
+		errs := make(chan error, attempts)
+		go func() {
+			defer close(errs)
+			for i := range attempts {
+				var call dgbackend.Call
+				time.AfterFunc(time.Duration(i%100)*2*time.Microsecond, call.Cancel)
+				in := dandeliongap.Instance{ID: dandeliongap.InstanceID(fmt.Sprint(i % 50)), Address: r.Address}
+				reply := f.Send(&call, &in, forwardRequest("1"), time.Now().Add(time.Hour))
+				if reply.Kind == dgbackend.ReplyNotSent {
+					errs <- reply.Err
+				}
+			}
+		}()
+		for {
+			var err error
+			Eventually(errs, eventTimeout).Should(Or(BeClosed(), Receive(&err)), "Send does not return after Cancel")
+			if err == nil {
+				break
 			}
+			Expect(err).To(MatchError(dandeliongap.ErrNotRun))
 		}
 	})
 	It("reads a response whose head is longer than usual, and does not reuse the connection (guards against a request with a long ID that looks like a failure of the replica)", func() {
