Let requests to one service take the places that searches may not (dgmemory M10)

Searches could take all places, up to three quarters of the descriptors, and a request to one service was refused like a further search. The limit of three quarters now holds for requests with several shards; others take the rest.

--- a/dgmemory/places.go
+++ b/dgmemory/places.go
@@ -5,8 +5,9 @@
 const SubRequestBytes = 16 << 10
 
 const (
-	// placeShare is the share of the descriptors that places may take (M10).
-	placeShare = 0.75
+	// searchShare is the share of the descriptors up to which requests with several shards
+	// may take places (M10).
+	searchShare = 0.75
 	// ownSockets is more than the VM has for its listeners and its calls to the store and to
 	// other VMs.
 	ownSockets = 32
@@ -32,7 +33,7 @@
 // MissingForPlaces returns the same before n more places may be taken. ok is false if they may
 // not, whatever ends.
 func (s Sockets) MissingForPlaces(n, conns, places int64) (missing int64, ok bool) {
-	if s.shared > 0 && places > 0 && float64(places+n) > placeShare*float64(s.shared) {
+	if s.shared > 0 && places > 0 && n > 1 && float64(places+n) > searchShare*float64(s.shared) {
 		return 0, false
 	}
 	return s.missing(conns + places + n), true
