--- a/dgedge/export_test.go
+++ b/dgedge/export_test.go
@@ -123,7 +123,7 @@
 func UnpackReceived(datagram []byte) ([]dgpresence.Heartbeat, error) {
 	var u unpacker
 	heartbeats, err := u.unpack(datagram)
-	return withoutOdd(heartbeats, kinds), err
+	return validHeartbeats(heartbeats, kinds), err
 }
 
 // Gossip queues datagrams with size bytes of content in a control goroutine that does not run,
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -115,9 +115,9 @@
 	return l, err
 }
 
-// withoutOdd returns the heartbeats without those whose name no VM has, and with the versions
-// of the given kinds only.
-func withoutOdd(heartbeats []dgpresence.Heartbeat, kinds []string) []dgpresence.Heartbeat {
+// validHeartbeats returns the heartbeats whose name a VM may have, with the versions of the given
+// kinds only. It changes heartbeats.
+func validHeartbeats(heartbeats []dgpresence.Heartbeat, kinds []string) []dgpresence.Heartbeat {
 	out := slices.DeleteFunc(heartbeats, func(h dgpresence.Heartbeat) bool { return len(h.VM) > maxNameBytes })
 	for _, h := range out {
 		maps.DeleteFunc(h.Seen, func(kind string, _ dandeliongap.Version) bool { return !slices.Contains(kinds, kind) })
@@ -154,7 +154,7 @@
 		} else {
 			var l longForm
 			l, err = u.unpackLong(buf[:n])
-			g.long, g.reports = withoutOdd(l.Beats, extendedKinds), l.Rollouts
+			g.long, g.reports = validHeartbeats(l.Beats, extendedKinds), l.Rollouts
 			g.size = int64(u.text.Len())
 		}
 		if err != nil {
