Reject responses with a blank in a field name

Callers saw, as a success, the response of a backend server in whose head the name of a field held a blank: "X Bad: x" was passed on as it was, "X-Bad : x" as "X-Bad: x", and " X-Bad: x" became a part of the value before it, so that it stood behind the stamp of the server, also in the list of stamps of a search. "Content Length: 1" was passed on beside the length of the body. With "Transfer Encoding: chunked" and no length, the body that the caller got held the sizes of the chunks.

Cause: the parser of fasthttp accepts blanks in names, drops those before the colon and joins a line that begins with a blank to the value before it. Nothing checked the names after it. Control bytes in names were rejected already.

Change: dghttp.ReadHeader checks the name of each field before it parses the head and returns ErrField for one that is not a token (httpguts of golang.org/x/net). A line that begins with a blank is rejected too: RFC 9112, section 5.2, lets a gateway reject a continued value, and the two cannot be told apart.

--- /dev/null
+++ b/dgbackend/fields_test.go
@@ -0,0 +1,27 @@
+package dgbackend_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dandeliongap.example/dandeliongap/dgbackend"
+)
+
+// quoted describes an entry of a table by its line.
+func quoted(line string) string { return fmt.Sprintf("%q", line) }
+
+var _ = DescribeTable("a response with an invalid field name is not taken as an answer (guards against one that reaches the caller)",
+	func(line string) {
+		f, in, _ := scriptedServer("HTTP/1.1 200 OK\nId: a\nStamp: s\n"+line+"\nContent-Length: 2\n\nhi", okResponse("a", "good"))
+		kind, _ := sendForward(f, in, "a")
+		Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+		_, body := sendForward(f, in, "a")
+		Expect(body).To(Equal("good"), "response of the next request")
+	},
+	Entry(quoted, "X Bad: x"), Entry(quoted, "X-Bad : x"), Entry(quoted, " X-Bad: x"), Entry(quoted, "\tX-Bad: x"),
+	Entry(quoted, "X\tBad: x"), Entry(quoted, "X\x00Bad: x"), Entry(quoted, "X\x01Bad: x"), Entry(quoted, "X\x7fBad: x"),
+	Entry(quoted, "Content Length: 1"), Entry(quoted, "Content-Length : 1"), Entry(quoted, " Content-Length: 1"),
+	Entry(quoted, "Transfer Encoding: chunked"), Entry(quoted, "Transfer-Encoding : chunked"),
+)
--- a/dgedge/status_test.go
+++ b/dgedge/status_test.go
@@ -10,8 +10,8 @@
 	"dandeliongap.example/dandeliongap/dgedge"
 )
 
-var _ = DescribeTable("changes of another VM with an invalid status are not taken (guards against a broken response that counts as 200)",
-	func(line string) {
+var _ = DescribeTable("changes of another VM with an invalid status or field name are not taken (guards against a broken response that counts as 200)",
+	func(lines string) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
@@ -22,10 +22,11 @@
 			}
 			const body = `{"Version":5,"Full":true}`
 			_, _ = c.Read(make([]byte, 4096))
-			_, _ = fmt.Fprintf(c, "%s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
+			_, _ = fmt.Fprintf(c, "%s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", lines, len(body), body)
 			_ = c.Close()
 		}()
 		Expect(dgedge.FetchChanges(l.Addr().String())).NotTo(Succeed())
 	},
 	Entry(nil, "HTTP/1.1 000 X"), Entry(nil, "HTTP/1.1 0 X"), Entry(nil, "HTTP/1.1 600 X"),
+	Entry(nil, "HTTP/1.1 200 OK\r\nX Bad: x"), Entry(nil, "HTTP/1.1 200 OK\r\nX-Bad : x"), Entry(nil, "HTTP/1.1 200 OK\r\nX-A: a\r\n X-Bad: x"),
 )
--- /dev/null
+++ b/dghttp/fields_test.go
@@ -0,0 +1,82 @@
+package dghttp_test
+
+import (
+	"bufio"
+	"errors"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"dandeliongap.example/dandeliongap/dghttp"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
+)
+
+// TestFieldNames guards against a response whose head has a field with an invalid name and
+// that counts as an answer.
+func TestFieldNames(t *testing.T) {
+	for field, valid := range map[string]bool{
+		"X-Good: x": true, "x: x": true, "!#$%&'*+-.^_`|~0: x": true, "X-Empty:": true, "X-Colons: a:b c": true,
+		"X Bad: x": false, "X-Bad : x": false, " X-Bad: x": false, "\tX-Bad: x": false, "X\tBad: x": false, "X-Bad\t: x": false,
+		"X\x00Bad: x": false, "X\x01Bad: x": false, "X\x7fBad: x": false, "X\rBad: x": false, "X\xe9Bad: x": false, "X@Bad: x": false,
+		": x": false, " : x": false, "X-Bad": false, "Content Length: 2": false, "Content-Length : 2": false, "Transfer-Encoding : chunked": false,
+	} {
+		for _, head := range []string{field + "\r\nX-Last: z", "X-First: a\r\n" + field, "X-First: a\n" + field} {
+			var h fasthttp.ResponseHeader
+			text := "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n"
+			err := dghttp.ReadHeader(bufio.NewReader(iotest.OneByteReader(strings.NewReader(text))), &h)
+			if (err == nil) != valid {
+				t.Errorf("%q: %v", text, err)
+			}
+			if field == "X Bad: x" && !errors.Is(err, dghttp.ErrField) {
+				t.Errorf("%q: %v, want ErrField", text, err)
+			}
+		}
+	}
+}
+
+// TestHeadEnd guards against a check of field names that reads into the body, or that takes
+// a head to be complete that is not.
+func TestHeadEnd(t *testing.T) {
+	for text, body := range map[string]string{
+		"HTTP/1.1 200 OK\r\n\r\nX Bad: x\r\n\r\n":                            "X Bad: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-A: a\r\n\r\nX Bad: x\r\n\r\n":                  "X Bad: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-A: a\n\nX Bad: x\r\n\r\n":                      "X Bad: x\r\n\r\n",
+		"\r\nHTTP/1.1 200 OK\r\nX-A: a\r\n\r\n" + strings.Repeat("x", 10000): strings.Repeat("x", 10000),
+	} {
+		var h fasthttp.ResponseHeader
+		br := bufio.NewReader(strings.NewReader(text))
+		if err := dghttp.ReadHeader(br, &h); err != nil {
+			t.Errorf("%.50q: %v", text, err)
+			continue
+		}
+		rest := new(strings.Builder)
+		if _, err := br.WriteTo(rest); err != nil || rest.String() != body {
+			t.Errorf("%.50q: body %.50q, %v; want %.50q", text, rest.String(), err, body)
+		}
+	}
+	for _, text := range []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-A: a\r\n", "HTTP/1.1 200 OK\nX-A: a\n\n", "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", 5000) + "\r\n\r\n"} {
+		var h fasthttp.ResponseHeader
+		if err := dghttp.ReadHeader(bufio.NewReader(strings.NewReader(text)), &h); err == nil {
+			t.Errorf("%.50q: no error", text)
+		}
+	}
+}
+
+// FuzzFieldNames guards against a head that is accepted although a name in it is not valid.
+func FuzzFieldNames(f *testing.F) {
+	for _, fields := range []string{"X-Good: x", "X Bad: x", "X-Bad : x", "X-A: a\r\n X-Bad: x", "X-A: a\n\nX Bad: x", "\r\n", "X\rBad: x", "X\x01Bad: x"} {
+		f.Add([]byte(fields))
+	}
+	f.Fuzz(func(t *testing.T, fields []byte) {
+		var h fasthttp.ResponseHeader
+		if dghttp.ReadHeader(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+string(fields)+"\r\n\r\n")), &h) != nil {
+			return
+		}
+		for name := range h.All() {
+			if !httpguts.ValidHeaderFieldName(string(name)) {
+				t.Fatalf("%q: accepted with the name %q", fields, name)
+			}
+		}
+	})
+}
--- a/dghttp/status.go
+++ b/dghttp/status.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 )
@@ -22,20 +24,33 @@
 )
 
 // ReadHeader reads the head of a final response. Its error wraps ErrStatus if the status is
-// not valid; fasthttp accepts any number and reports a status of 0 as 200.
+// not valid, as fasthttp accepts any number and reports a status of 0 as 200, and ErrField if
+// the name of a field is not valid.
 func ReadHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	status := peekStatus(br)
+	code := finalStatus(status)
+	var fieldErr error
+	if code != 0 { // otherwise the response is rejected without waiting for the rest of its head
+		_, fields, _ := bytes.Cut(peekBlock(br), []byte("\n"))
+		fieldErr = checkFields(fields) // before fasthttp joins continued lines in the buffer
+	}
 	if err := h.Read(br); err != nil {
 		return err
 	}
-	if code := h.StatusCode(); code < firstFinalStatus || code > lastStatus || status != digits(code) {
+	if code == 0 || h.StatusCode() != code {
 		return fmt.Errorf("%w: %q", ErrStatus, status[:])
 	}
-	return nil
+	return fieldErr
 }
 
-// digits returns the digits of a number from 100 to 999.
-func digits(n int) [3]byte { return [3]byte{byte('0' + n/100), byte('0' + n/10%10), byte('0' + n%10)} }
+// finalStatus returns the status of a final response, or 0 if the digits are not one.
+func finalStatus(digits [3]byte) int {
+	code, err := strconv.ParseUint(string(digits[:]), 10, 16)
+	if err != nil || code < firstFinalStatus || code > lastStatus {
+		return 0
+	}
+	return int(code)
+}
 
 // peekStatus returns the bytes at the position of the status. They are zero if the response
 // ends before them, which ReadHeader reports then.
