Reject responses with a blank in a field name of the trailer

Callers saw, as a success, the response of a backend server whose trailer had a field like "X Bad: x"; the line stood in the head of the response that they got.

Cause: as for heads, the parser of fasthttp accepts blanks in the names of a trailer. Fields of a trailer are copied with those of the head, and written there because the body has a length when it is passed on.

Change: dghttp.ReadTrailer checks the names like ReadHeader does. The reader of responses that are passed on and the transport for the store and other VMs use it.

--- a/dgbackend/body.go
+++ b/dgbackend/body.go
@@ -124,7 +124,7 @@
 	case length == lengthChunked:
 		err = body.read(httputil.NewChunkedReader(c.br))
 		if err == nil {
-			err = noEOF(resp.Header.ReadTrailer(c.br))
+			err = noEOF(dghttp.ReadTrailer(c.br, &resp.Header))
 		}
 	case length == lengthIdentity:
 		err = body.read(c.br)
--- a/dgbackend/fields_test.go
+++ b/dgbackend/fields_test.go
@@ -25,3 +25,14 @@
 	Entry(quoted, "Content Length: 1"), Entry(quoted, "Content-Length : 1"), Entry(quoted, " Content-Length: 1"),
 	Entry(quoted, "Transfer Encoding: chunked"), Entry(quoted, "Transfer-Encoding : chunked"),
 )
+
+var _ = DescribeTable("a response with an invalid field name in its trailer is not taken as an answer (guards against one that reaches the caller)",
+	func(line string) {
+		f, in, _ := scriptedServer("HTTP/1.1 200 OK\nId: a\nStamp: s\nTransfer-Encoding: chunked\n\n2\nhi\n0\nX-A: a\n"+line+"\n\n", okResponse("a", "good"))
+		kind, _ := sendForward(f, in, "a")
+		Expect(kind).To(Equal(dgbackend.ReplyUnknown))
+		_, body := sendForward(f, in, "a")
+		Expect(body).To(Equal("good"), "response of the next request")
+	},
+	Entry(quoted, "X Bad: x"), Entry(quoted, "X-Bad : x"), Entry(quoted, " X-Bad: x"), Entry(quoted, "X\tBad: x"), Entry(quoted, "X\x01Bad: x"),
+)
--- a/dghttp/fields.go
+++ b/dghttp/fields.go
@@ -6,13 +6,27 @@
 	"errors"
 	"fmt"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrField means that the head of a response has a line that is not a field with a valid
-// name.
+// ErrField means that the head or the trailer of a response has a line that is not a field
+// with a valid name.
 var ErrField = errors.New("invalid header field")
 
+// ReadTrailer reads the trailer of a chunked response. Its error wraps ErrField if the name of
+// a field is not valid.
+func ReadTrailer(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	var fieldErr error
+	if b, err := br.Peek(2); err == nil && string(b) != "\r\n" {
+		fieldErr = checkFields(peekBlock(br)) // before fasthttp joins continued lines in the buffer
+	}
+	if err := h.ReadTrailer(br); err != nil {
+		return err
+	}
+	return fieldErr
+}
+
 // blockEnd ends the head of a response and a trailer that has fields.
 const blockEnd = "\r\n\r\n"
 
--- a/dghttp/fields_test.go
+++ b/dghttp/fields_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+// TestTrailer guards against a chunked response whose trailer has a field with an invalid name
+// and that counts as an answer, and against a check that reads beyond the trailer.
+func TestTrailer(t *testing.T) {
+	const next = "HTTP/1.1 200 OK\r\n\r\n"
+	for trailer, valid := range map[string]bool{
+		"\r\n": true, "X-A: a\r\n\r\n": true, "X-A: a\nX-B:\r\n\r\n": true,
+		"X Bad: x\r\n\r\n": false, "X-Bad : x\r\n\r\n": false, " X-Bad: x\r\n\r\n": false, "X-A: a\r\n X-Bad: x\r\n\r\n": false,
+		"X\x01Bad: x\r\n\r\n": false, "X\tBad: x\r\n\r\n": false, "X-Bad\r\n\r\n": false,
+	} {
+		var h fasthttp.ResponseHeader
+		br := bufio.NewReader(iotest.OneByteReader(strings.NewReader(trailer + next)))
+		err := dghttp.ReadTrailer(br, &h)
+		if (err == nil) != valid {
+			t.Errorf("%q: %v", trailer, err)
+		}
+		if !valid {
+			continue
+		}
+		rest := new(strings.Builder)
+		if _, err := br.WriteTo(rest); err != nil || rest.String() != next {
+			t.Errorf("%q: left %q, %v", trailer, rest.String(), err)
+		}
+	}
+	for _, text := range []string{"", "\r", "X-A: a\r\n", "X-A: " + strings.Repeat("a", 5000) + "\r\n\r\n"} {
+		var h fasthttp.ResponseHeader
+		if err := dghttp.ReadTrailer(bufio.NewReader(strings.NewReader(text)), &h); err == nil {
+			t.Errorf("%.50q: no error", text)
+		}
+	}
+}
+
 // TestHeadEnd guards against a check of field names that reads into the body, or that takes
 // a head to be complete that is not.
 func TestHeadEnd(t *testing.T) {
--- a/dghttp/transport.go
+++ b/dghttp/transport.go
@@ -142,7 +142,7 @@
 		return err
 	}
 	if length < 0 {
-		return resp.Header.ReadTrailer(c.br)
+		return ReadTrailer(c.br, &resp.Header)
 	}
 	return nil
 }
