Reject responses with control characters in the status line

Callers saw, as a success, the response of a backend server with the status line "HTTP/1.1 200 O\x01K", with the control character in it. With a carriage return in that place they saw a blank.

Cause: the parser of fasthttp takes the text after the status as it is and replaces carriage returns only. Values of fields are checked by it, the text is not.

Change: dghttp.ReadHeader returns ErrStatus for a status line with control characters other than tabs. Found while the readers of responses were searched for the cause of the invalid field names.

--- a/dghttp/status.go
+++ b/dghttp/status.go
@@ -8,10 +8,12 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrStatus means that the status line of a response does not have the status of a final
-// response, which is a number of three digits from 200 to 599.
+// response, which is a number of three digits from 200 to 599, or that it has a control
+// character.
 var ErrStatus = errors.New("invalid status")
 
 const (
@@ -29,10 +31,9 @@
 func ReadHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	status := peekStatus(br)
 	code := finalStatus(status)
-	var fieldErr error
+	var headErr error
 	if code != 0 { // otherwise the response is rejected without waiting for the rest of its head
-		_, fields, _ := bytes.Cut(peekBlock(br), []byte("\n"))
-		fieldErr = checkFields(fields) // before fasthttp joins continued lines in the buffer
+		headErr = checkHead(peekBlock(br)) // before fasthttp joins continued lines in the buffer
 	}
 	if err := h.Read(br); err != nil {
 		return err
@@ -40,7 +41,18 @@
 	if code == 0 || h.StatusCode() != code {
 		return fmt.Errorf("%w: %q", ErrStatus, status[:])
 	}
-	return fieldErr
+	return headErr
+}
+
+// checkHead checks what fasthttp does not: the characters of the status line and the names of
+// the fields.
+func checkHead(head []byte) error {
+	line, fields, _ := bytes.Cut(head, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if !httpguts.ValidHeaderFieldValue(string(line)) {
+		return fmt.Errorf("%w: %.100q", ErrStatus, line)
+	}
+	return checkFields(fields)
 }
 
 // finalStatus returns the status of a final response, or 0 if the digits are not one.
