Check status and field names of responses in dandeliongapd too

Queries of dandeliongapd got, as a part of their result, the response of a backend server with the status 000, with a control character in the status line or with a blank in a field name.

Cause: the reader of dgbackend.Client called the parser of fasthttp itself, which reports a status of 0 as 200, and not dghttp.ReadHeader; docs/design/untrusted-callers.md listed this as open.

Change: it uses dghttp.ReadHeader and dghttp.ReadTrailer. A status below 200 is rejected by these.

--- a/dgbackend/client_test.go
+++ b/dgbackend/client_test.go
@@ -247,6 +247,24 @@
 		Expect(send(searchRequest()).Reason).To(Equal(dandeliongap.ReasonBroken))
 	})
 
+	DescribeTable("rejects a response with an invalid status or field name (guards against one that is taken as an answer)",
+		func(response string) {
+			r, _ = rawServer(func(conn net.Conn, br *bufio.Reader) {
+				head, _ := readRequest(br)
+				_, _ = fmt.Fprint(conn, strings.ReplaceAll(strings.ReplaceAll(response, "ID", requestID(head)), "\n", "\r\n"))
+			})
+			Expect(send(searchRequest())).To(Equal(dandeliongap.BackendAnswer{Status: dandeliongap.SubUnknown, Reason: dandeliongap.ReasonBroken}))
+		},
+		Entry(quoted, "HTTP/1.1 000 X\nRequest-Id: ID\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 199 X\nRequest-Id: ID\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 \x01\nRequest-Id: ID\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 OK\nRequest-Id: ID\nX Bad: x\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 OK\nRequest-Id: ID\nX-Bad : x\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 OK\nRequest-Id: ID\nX-A: a\n X-Bad: x\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 OK\nRequest-Id: ID\nX\x01Bad: x\nContent-Length: 2\n\n{}"),
+		Entry(quoted, "HTTP/1.1 200 OK\nRequest-Id: ID\nTransfer-Encoding: chunked\n\n2\n{}\n0\nX Bad: x\n\n"),
+	)
+
 	It("never takes bytes after a response for the response to the next request", func() {
 		r, _ = rawServer(func(conn net.Conn, br *bufio.Reader) {
 			for {
--- a/dgbackend/conn.go
+++ b/dgbackend/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"dandeliongap.example/dandeliongap/dghttp"
 	"github.com/valyala/fasthttp"
 )
 
@@ -17,9 +18,6 @@
 // section 9 of the design page.
 var errBroken = errors.New("incomplete or malformed response")
 
-// firstFinalStatus is the lowest status of a final response; 1xx are interim ones.
-const firstFinalStatus = 200
-
 // lengthIdentity is the content length that fasthttp reports for a body delimited
 // by the end of the connection. Such a body cannot be distinguished from a truncated one.
 const lengthIdentity = -2
@@ -102,10 +100,10 @@
 // incomplete or has no announced length. If the connection ends or fails in the
 // header, the error is that of headerError.
 func (c *conn) receive(resp *fasthttp.Response, limit int) error {
-	if err := resp.Header.Read(c.br); err != nil {
+	if err := dghttp.ReadHeader(c.br, &resp.Header); err != nil {
 		return headerError(err)
 	}
-	if resp.StatusCode() < firstFinalStatus || resp.Header.ContentLength() == lengthIdentity {
+	if resp.Header.ContentLength() == lengthIdentity {
 		return errBroken
 	}
 	chunked := resp.Header.ContentLength() < 0
@@ -115,7 +113,7 @@
 	if !chunked {
 		return nil
 	}
-	if err := resp.Header.ReadTrailer(c.br); err != nil {
+	if err := dghttp.ReadTrailer(c.br, &resp.Header); err != nil {
 		return wrapBroken(err)
 	}
 	return nil
