Reject responses of peers with a blank in a field name

A VM of dandeliongapd took a reply of another VM that the connection had cut off for a whole one, such as a confirmation that a replica was given up, if the length stood under a name with a blank ("Content Length: 9").

Cause: net/http accepts blanks in field names. The length was ignored, the body ended with the connection, and a part of a message is a valid message with fewer fields.

Change: the transport of dgpeer rejects such responses, which fails the call. Continued values, which net/http joins before it returns the head, are still accepted.

Status 000 and control characters in names were errors before.

--- a/dgpeer/outbox.go
+++ b/dgpeer/outbox.go
@@ -78,12 +78,12 @@
 		self:      self,
 		address:   address,
 		onFailure: onFailure,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: strictTransport{&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		}},
+		}}},
 		ctx:      ctx,
 		cancel:   cancel,
 		outboxes: map[string]*outbox{},
