--- a/dghttp/fields_test.go
+++ b/dghttp/fields_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -94,14 +95,20 @@
 	}
 }
 
-// FuzzFieldNames guards against a head that is accepted although a name in it is not valid.
-func FuzzFieldNames(f *testing.F) {
-	for _, fields := range []string{"X-Good: x", "X Bad: x", "X-Bad : x", "X-A: a\r\n X-Bad: x", "X-A: a\n\nX Bad: x", "\r\n", "X\rBad: x", "X\x01Bad: x"} {
+// FuzzFields guards against a head that is accepted although a name in it is not valid, and
+// against one whose body net/http would read with another length.
+func FuzzFields(f *testing.F) {
+	for _, fields := range []string{
+		"X-Good: x", "X Bad: x", "X-Bad : x", "X-A: a\r\n X-Bad: x", "X-A: a\n\nX Bad: x", "\r\n", "X\rBad: x", "X\x01Bad: x",
+		"Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked", "Content-Length: +2",
+		"Content-Length: 2, 2", "Content-Length:", "Transfer-Encoding: identity", "Connection: close",
+	} {
 		f.Add([]byte(fields))
 	}
 	f.Fuzz(func(t *testing.T, fields []byte) {
+		text := "HTTP/1.1 200 OK\r\n" + string(fields) + "\r\n\r\n"
 		var h fasthttp.ResponseHeader
-		if dghttp.ReadHeader(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+string(fields)+"\r\n\r\n")), &h) != nil {
+		if dghttp.ReadHeader(bufio.NewReader(strings.NewReader(text)), &h) != nil {
 			return
 		}
 		for name := range h.All() {
@@ -109,5 +116,13 @@
 				t.Fatalf("%q: accepted with the name %q", fields, name)
 			}
 		}
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err != nil {
+			t.Fatalf("%q: accepted, net/http: %v", fields, err)
+		}
+		length := h.ContentLength()
+		if chunked := len(resp.TransferEncoding) > 0; chunked != (length == -1) || !chunked && max(length, -1) != int(resp.ContentLength) {
+			t.Fatalf("%q: length %d, net/http reads %d, %v", fields, length, resp.ContentLength, resp.TransferEncoding)
+		}
 	})
 }
