--- a/dghttp/fields.go
+++ b/dghttp/fields.go
@@ -19,7 +19,7 @@
 func ReadTrailer(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	var fieldErr error
 	if b, err := br.Peek(2); err == nil && string(b) != "\r\n" {
-		fieldErr = checkFields(peekBlock(br)) // before fasthttp joins continued lines in the buffer
+		fieldErr = checkFields(peekBlock(br)) // before fasthttp joins folded lines in the buffer
 	}
 	if err := h.ReadTrailer(br); err != nil {
 		return err
@@ -47,9 +47,9 @@
 }
 
 // checkFields returns an error that wraps ErrField unless lines are fields with valid names,
-// ended by an empty line; fasthttp accepts blanks in names. A line that begins with a blank
-// either continues the value before it or is a field with such a name. RFC 9112, section 5.2,
-// lets a gateway reject the first as well.
+// ended by an empty line; fasthttp accepts spaces in names. A line that begins with a space or
+// a tab is rejected even if it is meant as a folded line, which cannot be told; RFC 9112,
+// section 5.2, lets a gateway reject such responses.
 func checkFields(lines []byte) error {
 	for len(lines) > 0 {
 		line, rest, _ := bytes.Cut(lines, []byte("\n"))
--- a/dghttp/status.go
+++ b/dghttp/status.go
@@ -33,7 +33,7 @@
 	code := finalStatus(status)
 	var headErr error
 	if code != 0 { // otherwise the response is rejected without waiting for the rest of its head
-		headErr = checkHead(peekBlock(br)) // before fasthttp joins continued lines in the buffer
+		headErr = checkHead(peekBlock(br)) // before fasthttp joins folded lines in the buffer
 	}
 	if err := h.Read(br); err != nil {
 		return err
--- a/dghttp/transport.go
+++ b/dghttp/transport.go
@@ -86,8 +86,8 @@
 // until ctx ends. It reports whether a byte of the request was written. The error is
 // dandeliongap.ErrClosed if the transport was closed before the request had a
 // connection, and wraps ctx.Err() if ctx ended while the request was in flight, and
-// ErrStatus if the response does not have the status of a final response. All
-// other errors are those of dialing, writing and reading.
+// ErrStatus or ErrField if the response is not valid. All other errors are those of
+// dialing, writing and reading.
 func (t *Transport) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, end time.Time) (sent bool, err error) {
 	t.mu.Lock()
 	if t.closed {
--- a/dgpeer/transport.go
+++ b/dgpeer/transport.go
@@ -11,7 +11,7 @@
 // errField means that a response has a field whose name is not valid.
 var errField = errors.New("invalid header field")
 
-// strictTransport rejects responses with blanks in the names of fields, which net/http
+// strictTransport rejects responses with spaces in the names of fields, which net/http
 // accepts. A length under such a name would be ignored, and a reply that the connection cut
 // off would count as complete.
 type strictTransport struct{ *http.Transport }
