--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -41,10 +41,11 @@
 }
 
 // ran records that a server began to work on a request.
-func (s *scenario) ran(server, service, id, account string) {
+func (s *scenario) ran(r run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.runs = append(s.runs, run{at: time.Now(), id: id, server: server, service: service, account: account})
+	r.at = time.Now()
+	s.runs = append(s.runs, r)
 }
 
 // close ends all processes and writes the record.
@@ -60,6 +61,7 @@
 }
 
 var scenarios = map[string]func(*scenario) (broken bool, err error){
+	"entry": oddEntry,
 	"lift":  liftedLimit,
 	"quota": quotaAfterFreeze,
 	"stray": strayRejection,
--- a/review/standin-2/rawserver.go
+++ b/review/standin-2/rawserver.go
@@ -61,7 +61,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		received, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
 		id := req.Header.Get(wire.RequestID)
@@ -72,7 +73,7 @@
 			continue
 		}
 		r.slots <- struct{}{}
-		r.s.ran(r.id, r.service, id, req.Header.Get(wire.Account))
+		r.s.ran(run{id: id, server: r.id, service: r.service, request: req.Method + " " + req.URL.RequestURI(), body: string(received)})
 		time.Sleep(r.work)
 		<-r.slots
 		body := r.service + " " + id + "\n"
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -13,6 +13,7 @@
 type run struct {
 	at                           time.Time
 	id, server, service, account string
+	request, body                string // method and path, and the body, as far as they are recorded
 }
 
 // server is a stand-in for a replica: sound, with a number of slots.
@@ -48,7 +49,7 @@
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	s.mu.Lock()
-	*s.runs = append(*s.runs, run{time.Now(), id, s.id, s.service, r.Header.Get(wire.Account)})
+	*s.runs = append(*s.runs, run{at: time.Now(), id: id, server: s.id, service: s.service, account: r.Header.Get(wire.Account)})
 	n := len(*s.runs)
 	s.mu.Unlock()
 	time.Sleep(s.work)
