--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -61,10 +61,11 @@
 }
 
 var scenarios = map[string]func(*scenario) (broken bool, err error){
-	"entry": oddEntry,
-	"lift":  liftedLimit,
-	"quota": quotaAfterFreeze,
-	"stray": strayRejection,
+	"entry":      oddEntry,
+	"lift":       liftedLimit,
+	"quota":      quotaAfterFreeze,
+	"stray":      strayRejection,
+	"unreadable": unreadableName,
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -130,11 +131,16 @@
 	}
 }
 
+// rawByte is a control character. In a name, the store returns it as another writer wrote it: as
+// the byte, which JSON does not allow in a string.
+const rawByte = "\x01"
+
 func reply(w http.ResponseWriter, status int, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
+	b = bytes.ReplaceAll(b, []byte(`\u0001`), []byte(rawByte))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(status)
--- a/review/standin-2/wire.go
+++ b/review/standin-2/wire.go
@@ -24,6 +24,8 @@
 	liftBefore []byte
 	//go:embed lift-2.json
 	liftAfter []byte
+	//go:embed unreadable.json
+	unreadableConfig []byte
 )
 
 // names holds the names of headers, fields and paths of the platform.
