--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. review/build-2.sh builds the stand-ins.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin2 ] && [ -x target/dandeliongap-edge ] || exit 2
-exec target/review-2/standin2 unreadable review/10/record.txt
+exec target/review-2/standin2 lift review/10/record.txt
