Drop objects of the store whose name is not valid

Cause: the name of a registration, which another writer may choose, is the ID of the backend server and goes into the head of each request to it. A line break in the name ends the head early. A name that cannot be decoded counted as an empty one, which names no instance, so that every server runs the request. No place checked the name. The decoder of registrations alone would not do: the names of objects of all kinds come from other writers, and from other VMs too.

Change: CheckName says what a name is. The control goroutine drops objects without a valid name before they are used or passed on, whether the store or another VM sent them. The forwarder sends nothing to an instance whose ID is not valid.

--- a/dgbackend/forward.go
+++ b/dgbackend/forward.go
@@ -273,7 +273,13 @@
 
 // Send sends a request to one instance. It returns when the response is complete,
 // or when the attempt failed, was cancelled or exceeded its deadline.
+//
+// The ID of the instance is a part of the head. One that is no name would end the head early, or
+// let another instance run the request, so that nothing is sent.
 func (f *Forwarder) Send(call *Call, in *dandeliongap.Instance, req *ForwardRequest, deadline time.Time) Reply {
+	if err := dandeliongap.CheckName(string(in.ID)); err != nil {
+		return Reply{Kind: ReplyNotSent, Err: fmt.Errorf("ID of the instance: %w", err)}
+	}
 	cn, err := f.acquire(in, req.Idempotent, deadline)
 	if err != nil {
 		return Reply{Kind: ReplyNotSent, Err: err}
--- a/dgbackend/forward_test.go
+++ b/dgbackend/forward_test.go
@@ -68,6 +68,15 @@
 }
 
 var _ = Describe("Forwarder", func() {
+	It("sends nothing to an instance whose ID is no name (guards against an ID that ends the head, or that any instance takes for its own)", func() {
+		f, in, accepted := scriptedServer(okResponse("x", "ok"))
+		for _, id := range []dandeliongap.InstanceID{"", "i-1\n", "i-1\r\nContent-Length: 0", " i-1"} {
+			in.ID = id
+			kind, _ := sendForward(f, in, "x")
+			Expect(kind).To(Equal(dgbackend.ReplyNotSent), "ID %q", id)
+		}
+		Expect(accepted.Load()).To(BeZero())
+	})
 	It("sends the request unchanged, with the time left until the deadline and the expected instance", func() {
 		got := make(chan *http.Request, 1)
 		r, _ := rawServer(func(c net.Conn, br *bufio.Reader) {
--- a/dgedge/control.go
+++ b/dgedge/control.go
@@ -219,6 +219,7 @@
 		c.e.stats.add("WatchesCutOff")
 		return
 	}
+	b.objects = c.named(b)
 	if b.offer {
 		c.routesAsked = true
 		c.offerRoutes(b.objects)
@@ -260,6 +261,20 @@
 	}
 }
 
+// named returns the objects of a batch that have a valid name. Another writer may leave others in
+// the store, which name nothing that could be used. Every object that this VM uses or passes on
+// goes through here, whether the store or another VM sent it.
+func (c *control) named(b batch) []dandeliongap.Object {
+	return slices.DeleteFunc(slices.Clone(b.objects), func(o dandeliongap.Object) bool {
+		name := baseName(o.Name)
+		err := dandeliongap.CheckName(name)
+		if err != nil && !o.Deleted {
+			c.e.log.event("object without a valid name").Str("Kind", b.kind).Str("Name", clip(name)).Uint64("Version", uint64(o.Version)).Str("Error", clip(err.Error())).Send()
+		}
+		return err != nil
+	})
+}
+
 // beginEra prepares the state of the kind of a batch for the first list of a new era of the
 // store.
 func (c *control) beginEra(now dandeliongap.Instant, b batch) {
