Reject addresses with an IPv6 zone in registrations

The directory answered callers with the address "[fe80::1%\r\nx]:80", which another writer had left in the registration of a VM, and requests were sent towards such an address of a backend server, to no effect but a lost attempt.

Cause: netip accepts any text as the zone of an IPv6 address. A zone names an interface of one host, so that it is never right in a registration that other hosts read.

--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -114,8 +113,8 @@
 		return m, fmt.Errorf("%w: %w", dandeliongap.ErrInvalid, err)
 	}
 	for _, addr := range []string{m.Entry, m.Gossip} {
-		if a, err := netip.ParseAddrPort(addr); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
-			return m, fmt.Errorf("%w: address %.60q, want IP:port", dandeliongap.ErrInvalid, addr)
+		if err := dandeliongap.CheckAddress(addr); err != nil {
+			return m, err
 		}
 	}
 	return m, nil
--- a/name.go
+++ b/name.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -38,3 +39,14 @@
 }
 
 func breaksLine(r rune) bool { return unicode.In(r, unicode.Cc, unicode.Zl, unicode.Zp) }
+
+// CheckAddress returns an error that wraps ErrInvalid unless s is "IP:port" with an address that
+// means the same on every VM. An unspecified one does not, nor does one with an IPv6 zone,
+// which names an interface of one host and may have any text.
+func CheckAddress(s string) error {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().Zone() != "" {
+		return fmt.Errorf("%w: address %.60q, want IP:port", ErrInvalid, s)
+	}
+	return nil
+}
--- a/name_test.go
+++ b/name_test.go
@@ -25,3 +25,18 @@
 		}
 	}
 }
+
+// TestCheckAddress guards against addresses that mean something else on each VM, and against
+// text of another writer in them.
+func TestCheckAddress(t *testing.T) {
+	for _, s := range []string{"10.1.0.9:8104", "[fe80::1]:80", "[::ffff:10.0.0.1]:65535"} {
+		if err := dandeliongap.CheckAddress(s); err != nil {
+			t.Errorf("CheckAddress(%q) = %v, want nil", s, err)
+		}
+	}
+	for _, s := range []string{"", "10.1.0.9", "10.1.0.9:0", "0.0.0.0:80", "[::]:80", "host:80", "[fe80::1%eth0]:80", "[fe80::1%\r\nx]:80"} {
+		if err := dandeliongap.CheckAddress(s); !errors.Is(err, dandeliongap.ErrInvalid) {
+			t.Errorf("CheckAddress(%q) = %v, want ErrInvalid", s, err)
+		}
+	}
+}
