Check the names inside of registrations, heartbeats and settings

Entries of other writers with an empty zone, a zone or a version with a line break, or an empty service counted as sound, and so did heartbeats and reports of VMs with such names. They went into the maps of the balancer, the roster and the evidence of rollouts, into log lines and into datagrams to other VMs. No wrong answer to a caller was seen.

Cause: as for the names of objects, nothing said what a name is. Heartbeats had a limit of length only, and settings wanted no more than a text that is not empty.

Change: registrations of backend servers and VMs, heartbeats and reports are ignored if a name in them fails CheckName, and a version that does counts as none. Settings with such a name are invalid, because other VMs would ignore the VM.

Result: on two specs of odd entries, the spec of versions, TestUnpackLimits and two entries of the settings fail (the test of reports needs a function that the change adds, and did not run there); with the change all pass.

--- a/dgedge/export_rollout_test.go
+++ b/dgedge/export_rollout_test.go
@@ -45,3 +45,15 @@
 	}
 	return len(b)
 }
+
+// ReportsFrom returns the VMs whose reports are taken in, of those that sent one each.
+func ReportsFrom(vms ...dandeliongap.VMName) (out []dandeliongap.VMName) {
+	var reports []rolloutReport
+	for _, vm := range vms {
+		reports = append(reports, rolloutReport{VM: vm})
+	}
+	for _, r := range validReports(reports) {
+		out = append(out, r.VM)
+	}
+	return out
+}
--- a/dgedge/gossip.go
+++ b/dgedge/gossip.go
@@ -40,8 +40,6 @@
 	maxUnpackedValues = 16 << 10
 	// maxQueuedBytes limits the content of the datagrams that wait for the control goroutine.
 	maxQueuedBytes = 2 << 20
-	// maxNameBytes limits the name of a VM in a heartbeat.
-	maxNameBytes = 255
 )
 
 // errManyValues means that a datagram has more objects and arrays than a VM sends.
@@ -115,16 +113,21 @@
 	return l, err
 }
 
-// validHeartbeats returns the heartbeats whose name a VM may have, with the versions of the given
+// validHeartbeats returns the heartbeats of VMs with a valid name, with the versions of the given
 // kinds only. It changes heartbeats.
 func validHeartbeats(heartbeats []dgpresence.Heartbeat, kinds []string) []dgpresence.Heartbeat {
-	out := slices.DeleteFunc(heartbeats, func(h dgpresence.Heartbeat) bool { return len(h.VM) > maxNameBytes })
+	out := slices.DeleteFunc(heartbeats, func(h dgpresence.Heartbeat) bool { return dandeliongap.CheckName(string(h.VM)) != nil })
 	for _, h := range out {
 		maps.DeleteFunc(h.Seen, func(kind string, _ dandeliongap.Version) bool { return !slices.Contains(kinds, kind) })
 	}
 	return slices.Clip(out)
 }
 
+// validReports returns the reports of VMs with a valid name. It changes reports.
+func validReports(reports []rolloutReport) []rolloutReport {
+	return slices.Clip(slices.DeleteFunc(reports, func(r rolloutReport) bool { return dandeliongap.CheckName(string(r.VM)) != nil }))
+}
+
 // receiveHeartbeats passes the heartbeats of other VMs to the control goroutine
 // until the socket is closed.
 func (c *control) receiveHeartbeats() {
@@ -154,7 +157,7 @@
 		} else {
 			var l longForm
 			l, err = u.unpackLong(buf[:n])
-			g.long, g.reports = validHeartbeats(l.Beats, extendedKinds), l.Rollouts
+			g.long, g.reports = validHeartbeats(l.Beats, extendedKinds), validReports(l.Rollouts)
 			g.size = int64(u.text.Len())
 		}
 		if err != nil {
--- a/dgedge/members.go
+++ b/dgedge/members.go
@@ -112,6 +112,9 @@
 	if err := json.Unmarshal(o.Body, &m); err != nil {
 		return m, fmt.Errorf("%w: %w", dandeliongap.ErrInvalid, err)
 	}
+	if err := dandeliongap.CheckName(string(m.Zone)); err != nil {
+		return m, fmt.Errorf("zone: %w", err)
+	}
 	for _, addr := range []string{m.Entry, m.Gossip} {
 		if err := dandeliongap.CheckAddress(addr); err != nil {
 			return m, err
--- a/dgedge/settings.go
+++ b/dgedge/settings.go
@@ -52,8 +52,8 @@
 	}
 	r := sectionReader{section: f.Section("edge")}
 	s := Settings{
-		VM:              dandeliongap.VMName(r.text("vm")),
-		Zone:            dandeliongap.ZoneName(r.text("zone")),
+		VM:              dandeliongap.VMName(r.name("vm")),
+		Zone:            dandeliongap.ZoneName(r.name("zone")),
 		StoreAddress:    r.address("store"),
 		FirstStart:      r.flag("first start"),
 		EntryListen:     r.address("entry listen"),
@@ -119,10 +119,11 @@
 // isSet reports whether a key that may be left out or empty has a value.
 func (r *sectionReader) isSet(key string) bool { return r.section.Key(key).String() != "" }
 
-func (r *sectionReader) text(key string) string {
+// name reads the name of this VM or its zone, which other VMs check in its registration.
+func (r *sectionReader) name(key string) string {
 	v := r.section.Key(key).String()
-	if v == "" {
-		r.invalid(key, "a value")
+	if err := dandeliongap.CheckName(v); err != nil {
+		r.errs = append(r.errs, fmt.Errorf("key %q: %w", key, err))
 	}
 	return v
 }
--- a/dgedge/settings_test.go
+++ b/dgedge/settings_test.go
@@ -64,6 +64,9 @@
 			Expect(err).To(MatchError(ContainSubstring(`"` + key + `"`)))
 		},
 		Entry(nil, "vm", ""),
+		Entry(nil, "vm", "."),
+		Entry(nil, "zone", ""),
+		Entry(nil, "zone", "a\x01"),
 		Entry(nil, "store", "host:80"),
 		Entry(nil, "first start", "perhaps"),
 		Entry(nil, "entry listen", "127.0.0.1"),
