--- a/dgaccount/dgaccount_test.go
+++ b/dgaccount/dgaccount_test.go
@@ -26,6 +26,7 @@
 		"a key in use":                   {Name: "b", Keys: []string{secret}},
 		"a name with a line break":       {Name: "b\r\nX-Own: 1"},
 		"a name with a space at its end": {Name: "good "},
+		"a name that begins with a tab":  {Name: "\tb"},
 		"a long name":                    {Name: dandeliongap.AccountName(strings.Repeat("n", 1025))},
 		"a negative rate":                {Name: "b", Rate: -1},
 		"an infinite rate":               {Name: "b", Rate: math.Inf(1)},
@@ -80,6 +81,7 @@
 		{Name: "a", Keys: []string{"key-a", "key-a2", longKey}, Priority: 0, HasPriority: true},
 		{Name: "b", Keys: []string{"key-b", "key-b"}},
 		{Name: "without keys"},
+		{Name: "\u00a0wide spaces\u2003"}, // a header can carry them
 	})
 	if err != nil {
 		t.Fatal(err)
