Remove checks of empty names that the control goroutine makes needless

Objects without a valid name are dropped before they are applied, so that orders and states of rollouts with an empty one do not reach these loops.

--- a/dgedge/rollout.go
+++ b/dgedge/rollout.go
@@ -112,9 +112,6 @@
 	}
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
-		if name == "" {
-			continue
-		}
 		present[name] = true
 		if o.Deleted {
 			c.withdrawOrder(name, o.Version)
@@ -284,9 +281,6 @@
 	present := make(map[dandeliongap.ServiceName]bool, len(b.objects))
 	for _, o := range b.objects {
 		name := dandeliongap.ServiceName(baseName(o.Name))
-		if name == "" {
-			continue
-		}
 		present[name] = true
 		en := c.rollouts.entry(name)
 		if o.Version <= en.stateVersion {
--- a/route.go
+++ b/route.go
@@ -177,7 +177,8 @@
 	// DecodeSharedRoutes decodes the form that ShareRoutes returns. Its error wraps
 	// ErrInvalid, and also ErrHasKeys if the object has keys.
 	DecodeSharedRoutes(o Object) (*RouteConfig, error)
-	// DecodeInstance decodes an object of KindInstances. Its error wraps ErrInvalid.
+	// DecodeInstance decodes an object of KindInstances whose name CheckName accepts. Its
+	// error wraps ErrInvalid.
 	DecodeInstance(o Object) (Instance, error)
 	// DecodeRollout decodes an object of KindRollouts. Its error wraps ErrInvalid; the
 	// order then has the fields that could be read, Version and Service always among them.
